Start the project: module, shared types, interfaces between the parts

Cause: an empty repository. The types that several parts share are written first so that the parts can be built side by side: identifiers, refusals, the table and peer interfaces with in-process versions, the configuration, the operator and caller services.

Ruled out: one package of all types (every change would touch it). Before: nothing. After: builds and vets; no behaviour yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,62 @@
+# Habits of the project. `make help` lists them.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_GO_VERSION := v1.21.1
+
+SEED ?= 1
+GOBIN := $(shell go env GOPATH)/bin
+export CGO_ENABLED := 1
+export PATH := $(GOBIN):$(PATH)
+
+.PHONY: help
+help: ## list the targets
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+.PHONY: build
+build: ## build both programs into bin/
+	go build -o bin/ ./cmd/...
+
+.PHONY: test
+test: ## run every test with the race detector
+	go test -race -timeout 10m ./...
+
+.PHONY: tools
+tools: ## install the linter and the generators
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_GO_VERSION)
+
+.PHONY: lint-tool
+lint-tool:
+	@golangci-lint version 2>/dev/null | grep -q "$(patsubst v%,%,$(GOLANGCI_LINT_VERSION))" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+
+.PHONY: lint
+lint: lint-tool ## check the format and run the linter
+	golangci-lint fmt --diff
+	golangci-lint run ./...
+
+.PHONY: format
+format: lint-tool ## format the code
+	golangci-lint fmt
+
+.PHONY: generate
+generate: ## generate code from the .proto files (needs `make tools`)
+	buf lint
+	buf generate
+
+.PHONY: bench
+bench: ## run the benchmarks of the hot path
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+.PHONY: cover
+cover: ## write a coverage profile to cover.out
+	go test -coverprofile=cover.out ./...
+	go tool cover -func=cover.out | tail -1
+
+.PHONY: demo
+demo: build ## start the system on loopback and tour it
+	scripts/demo
--- /dev/null
+++ b/cmd/lacewingtally/main.go
@@ -0,0 +1,4 @@
+// Command lacewingtally is the daemon and its command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/platform/table/memory.go
@@ -0,0 +1,143 @@
+package table
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Faults of a Memory. The zero value is none.
+const (
+	// FaultUnavailable refuses the call: nothing is written.
+	FaultUnavailable Fault = iota + 1
+	// FaultAnswerLost carries a write out and returns ErrUnknown.
+	FaultAnswerLost
+	// FaultRequestLost writes nothing and returns ErrUnknown.
+	FaultRequestLost
+	// FaultSilent writes nothing and hangs until the context ends.
+	FaultSilent
+)
+
+// Fault is what goes wrong with one call.
+type Fault uint8
+
+// Memory is a Table within one process. The zero value is an empty table. Its
+// methods may be called from any goroutine.
+type Memory struct {
+	// Fault, if set, is asked before each call; commit tells writes from
+	// reads. It must not call the table.
+	Fault func(commit bool, keys []Key) Fault
+
+	mutex sync.Mutex
+	rows  map[Key]Row
+	// last is the version of the newest write of any row.
+	last uint64
+}
+
+// Commit implements Table.
+func (m *Memory) Commit(ctx context.Context, t Txn) error {
+	if t.ID == "" || len(t.Writes) == 0 {
+		return ErrInvalid
+	}
+	f := m.fault(true, keysOf(t))
+	switch f {
+	case FaultUnavailable:
+		return ErrUnavailable
+	case FaultRequestLost:
+		return ErrUnknown
+	case FaultSilent:
+		<-ctx.Done()
+		return ErrUnknown
+	}
+	err := m.commit(t)
+	if f == FaultAnswerLost {
+		return ErrUnknown
+	}
+	return err
+}
+
+// Read implements Table.
+func (m *Memory) Read(ctx context.Context, keys ...Key) ([]Row, error) {
+	if err := m.readFault(ctx, keys); err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	rows := make([]Row, 0, len(keys))
+	for _, k := range keys {
+		r := m.rows[k]
+		r.Key = k
+		r.Value = slices.Clone(r.Value)
+		rows = append(rows, r)
+	}
+	return rows, nil
+}
+
+// Scan implements Table.
+func (m *Memory) Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error) {
+	if err := m.readFault(ctx, []Key{prefix}); err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var rows []Row
+	for k, r := range m.rows {
+		if k > after && strings.HasPrefix(string(k), string(prefix)) {
+			r.Value = slices.Clone(r.Value)
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+func (m *Memory) commit(t Txn) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, c := range t.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			return ErrConflict
+		}
+	}
+	if m.rows == nil {
+		m.rows = make(map[Key]Row)
+	}
+	m.last++
+	for _, w := range t.Writes {
+		if w.Delete {
+			delete(m.rows, w.Key)
+			continue
+		}
+		m.rows[w.Key] = Row{Key: w.Key, Value: slices.Clone(w.Value), Version: m.last, WriteID: t.ID}
+	}
+	return nil
+}
+
+func (m *Memory) fault(commit bool, keys []Key) Fault {
+	if m.Fault == nil {
+		return 0
+	}
+	return m.Fault(commit, keys)
+}
+
+func (m *Memory) readFault(ctx context.Context, keys []Key) error {
+	switch m.fault(false, keys) {
+	case FaultUnavailable:
+		return ErrUnavailable
+	case FaultSilent:
+		<-ctx.Done()
+		return ErrUnavailable
+	case FaultAnswerLost, FaultRequestLost:
+		return ErrUnavailable
+	}
+	return nil
+}
+
+func keysOf(t Txn) []Key {
+	keys := make([]Key, 0, len(t.Writes))
+	for _, w := range t.Writes {
+		keys = append(keys, w.Key)
+	}
+	return keys
+}
