Add the cell, the server directory, limits, retry budgets and grants

Cause: a request needs a grant before it goes to a backend server, from one exact queue a cell, so that fairness and capacity hold over all daemons.

Before: interfaces only.

A rapid test of the ledger failed first: a lost answer that lowered a share left the older, larger share in force at the daemon, and the sum reached 1.46 of the limit. The ledger now counts every share until it has run out.

Ruled out: reading results of a loop call after its context ended; the race detector showed the function still running.

--- /dev/null
+++ b/internal/control/cell/id.go
@@ -0,0 +1,149 @@
+package cell
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// largest is the number of servers above which a pool is split into more
+// cells.
+const largest = 12
+
+// ID names a cell: one of Of parts of a pool's servers in a region. Of is a
+// power of two, so that daemons whose VM lists differ by a few servers agree
+// on it nearly always.
+type ID struct {
+	Region fleet.Region
+	Pool   fleet.Pool
+	Index  int
+	Of     int
+}
+
+// Summary is what a dispatcher tells of a cell.
+type Summary struct {
+	// Capacity is the number of slots; Free of them are not taken.
+	Capacity int
+	Free     int
+	Waiting  int
+}
+
+// Busy returns the load of the cell: below 1 there are free slots, above it
+// requests wait.
+func (s Summary) Busy() float64 {
+	if s.Capacity == 0 {
+		return 1
+	}
+	return 1 + float64(s.Waiting-s.Free)/float64(s.Capacity)
+}
+
+// Choose returns the cell to ask: the one that the prefix belongs to, unless a
+// second one, taken by random, is known to be clearly less busy. random(n)
+// returns a number below n.
+func Choose(r fleet.Region, p fleet.Pool, of int, prefix uint64, busy func(ID) float64, random func(int) int) ID {
+	first := ID{Region: r, Pool: p, Of: of, Index: random(of)}
+	if prefix != 0 {
+		first.Index = int(mix(prefix) % uint64(of))
+	}
+	if of == 1 {
+		return first
+	}
+	second := first
+	second.Index = (first.Index + 1 + random(of-1)) % of
+	slack := 0.0
+	if prefix != 0 {
+		slack = affinitySlack
+	}
+	if busy(second)+slack < busy(first) {
+		return second
+	}
+	return first
+}
+
+// Contains reports whether a server of the cell's pool and region is in the
+// cell.
+func (i ID) Contains(s fleet.ServerID) bool {
+	return i.Of <= 1 || indexOf(s, i.Of) == i.Index
+}
+
+// Dispatcher returns the member that dispatches for the cell: the one of the
+// cell's region that ranks highest for it, so that a change of members moves
+// only the cells of the member that changed. The bool is false when the region
+// has none.
+func (i ID) Dispatcher(members []fleet.Member) (fleet.Member, bool) {
+	key := string(i.Region) + "/" + string(i.Pool) + "/" + strconv.Itoa(i.Index) + "/" + strconv.Itoa(i.Of)
+	return Owner(key, members, func(m *fleet.Member) bool { return m.Region == i.Region })
+}
+
+// Servers returns those of the servers that are in the cell.
+func (i ID) Servers(all []fleet.Server) []fleet.Server {
+	var out []fleet.Server
+	for _, s := range all {
+		if s.Region == i.Region && s.Pool == i.Pool && i.Contains(s.ID) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Of returns the number of cells for a number of servers.
+func Of(servers int) int {
+	of := 1
+	for servers > of*largest {
+		of *= 2
+	}
+	return of
+}
+
+// Home returns the cell that a server is in when its pool has a number of
+// servers in its region.
+func Home(s fleet.Server, servers int) ID {
+	of := Of(servers)
+	return ID{Region: s.Region, Pool: s.Pool, Index: indexOf(s.ID, of), Of: of}
+}
+
+// Owner returns the member that ranks highest for a key among those that f
+// selects, by rendezvous hashing.
+func Owner(key string, members []fleet.Member, f func(*fleet.Member) bool) (fleet.Member, bool) {
+	var best fleet.Member
+	var most uint64
+	found := false
+	h := xxhash.Sum64String(key)
+	for i := range members {
+		m := &members[i]
+		if !f(m) {
+			continue
+		}
+		rank := mix(h ^ memberHash(m))
+		if !found || rank > most {
+			best, most, found = *m, rank, true
+		}
+	}
+	return best, found
+}
+
+func indexOf(s fleet.ServerID, of int) int {
+	return int(xxhash.Sum64String(string(s)) % uint64(of))
+}
+
+func memberHash(m *fleet.Member) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	a := m.ID.Address.Addr().As16()
+	_, _ = d.Write(a[:])
+	port := m.ID.Address.Port()
+	_, _ = d.Write([]byte{byte(port >> 8), byte(port)})
+	_, _ = d.WriteString(string(m.ID.Incarnation))
+	return d.Sum64()
+}
+
+// mix spreads the bits of x.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/control/cell/placement.go
@@ -0,0 +1,134 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// affinitySlack is how much more loaded, as a part of its capacity, a server
+// may be than the least loaded one and still be chosen for its prefix cache.
+const affinitySlack = 0.25
+
+// maxOptions bounds the servers that are weighed for one request.
+const maxOptions = 32
+
+// Option is a server that may run a request, as a Placement sees it.
+type Option struct {
+	Server fleet.ServerID
+	Kind   fleet.Kind
+	// Load is the taken part of the server's slots, from 0 to 1.
+	Load float64
+	// Reported is the part of its slots that the server last reported as
+	// taken.
+	Reported float64
+	// Cached is whether the server was given the request's prefix of late.
+	Cached bool
+}
+
+// Placement chooses among servers with a free slot. It is used by one
+// goroutine.
+type Placement interface {
+	// Choose returns the index of the server to use. There is at least one.
+	Choose(class fleet.Class, options []Option) int
+}
+
+// PrefixPlacement takes a server that has the prefix cached unless it is
+// clearly busier than the least loaded one. Training prefers spot servers and
+// other work standard ones.
+type PrefixPlacement struct{}
+
+// Choose implements Placement.
+func (PrefixPlacement) Choose(class fleet.Class, options []Option) int {
+	best := 0
+	for i := range options {
+		if score(class, &options[i]) < score(class, &options[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// ReportedPlacement takes the server with the least reported load.
+type ReportedPlacement struct{}
+
+// Choose implements Placement.
+func (ReportedPlacement) Choose(_ fleet.Class, options []Option) int {
+	best := 0
+	for i := range options {
+		if options[i].Reported < options[best].Reported {
+			best = i
+		}
+	}
+	return best
+}
+
+func score(class fleet.Class, o *Option) float64 {
+	s := o.Load
+	if o.Cached {
+		s -= affinitySlack
+	}
+	if (o.Kind == fleet.Spot) != (class == fleet.Training) {
+		s++
+	}
+	return s
+}
+
+// choose returns a server with a free slot for the request, nil when there is
+// none now.
+func (c *Cell) choose(now time.Time, a *Ask) *serverState {
+	var options [maxOptions]Option
+	var states [maxOptions]*serverState
+	n := 0
+	standard := c.standardAllowed(now, a)
+	for _, s := range c.servers.usable {
+		if n == maxOptions || s.free() <= 0 || s.suspended(now) || !s.suits(a) || !c.kindAllowed(s, a, standard) {
+			continue
+		}
+		states[n] = s
+		options[n] = Option{
+			Server:   s.server.ID,
+			Kind:     s.server.Kind,
+			Load:     float64(s.running+s.foreign) / float64(s.server.Capacity),
+			Reported: float64(s.reported) / float64(s.server.Capacity),
+			Cached:   s.knows(a.Request.Prefix),
+		}
+		n++
+	}
+	if n == 0 {
+		return nil
+	}
+	if c.Settings.Placement == nil {
+		return states[PrefixPlacement{}.Choose(a.Request.Class, options[:n])]
+	}
+	return states[c.Settings.Placement.Choose(a.Request.Class, options[:n])]
+}
+
+// kindAllowed bounds live work on the spot servers of one failure domain by
+// the reserve that would have to take it back.
+func (c *Cell) kindAllowed(s *serverState, a *Ask, standard bool) bool {
+	if s.server.Kind != fleet.Spot {
+		return standard
+	}
+	if a.Request.Class == fleet.Training || c.Settings.LiveReserve == 0 {
+		return true
+	}
+	bound := c.Settings.LiveReserve * float64(c.servers.standard)
+	return float64(c.servers.liveOnSpot[s.server.FailureDomain]) < bound
+}
+
+// standardAllowed reports whether the request may take a standard slot:
+// training leaves the reserve free while live requests come, unless it is
+// below its floor.
+func (c *Cell) standardAllowed(now time.Time, a *Ask) bool {
+	if a.Request.Class != fleet.Training || c.Settings.LiveReserve == 0 {
+		return true
+	}
+	if c.load.liveAt.IsZero() || now.Sub(c.load.liveAt) > recentWindow {
+		return true
+	}
+	if float64(c.load.running[fleet.Training]) < c.Settings.TrainingFloor*float64(c.servers.capacity) {
+		return true
+	}
+	return float64(c.servers.standardFree()) > c.Settings.LiveReserve*float64(c.servers.standard)
+}
--- /dev/null
+++ b/internal/control/cell/policy.go
@@ -0,0 +1,113 @@
+package cell
+
+import "time"
+
+// Candidate is a key with something waiting, as a Policy sees it.
+type Candidate[K comparable] struct {
+	Key K
+	// Since is when the oldest of its waiting requests arrived.
+	Since time.Time
+	// Running is the number of its requests that run.
+	Running float64
+	// Alone is how many it could run if it had the cell alone, at least 1.
+	Alone float64
+	// Weight is positive.
+	Weight float64
+}
+
+// Policy orders keys that compete for free slots. It is used by one goroutine.
+type Policy[K comparable] interface {
+	// Next returns the index of the candidate that goes next. There is at
+	// least one.
+	Next(now time.Time, waiting []Candidate[K]) int
+	// Started says that a request of a candidate was placed, with its
+	// expected cost.
+	Started(now time.Time, c Candidate[K], cost float64)
+}
+
+// FIFO serves the oldest request first. The zero value is ready.
+type FIFO[K comparable] struct{}
+
+// Next implements Policy.
+func (FIFO[K]) Next(_ time.Time, waiting []Candidate[K]) int {
+	best := 0
+	for i := range waiting {
+		if waiting[i].Since.Before(waiting[best].Since) {
+			best = i
+		}
+	}
+	return best
+}
+
+// Started implements Policy.
+func (FIFO[K]) Started(time.Time, Candidate[K], float64) {}
+
+// RoundRobin serves the keys in turn, each in proportion to its weight. The
+// zero value is ready.
+type RoundRobin[K comparable] struct {
+	// passes holds the virtual time at which each key is due.
+	passes map[K]float64
+	// virtual is the virtual time of the key served last.
+	virtual float64
+}
+
+// Next implements Policy.
+func (r *RoundRobin[K]) Next(_ time.Time, waiting []Candidate[K]) int {
+	best := 0
+	for i := range waiting {
+		a, b := r.due(waiting[i].Key), r.due(waiting[best].Key)
+		if a < b || a == b && waiting[i].Since.Before(waiting[best].Since) {
+			best = i
+		}
+	}
+	return best
+}
+
+// Started implements Policy.
+func (r *RoundRobin[K]) Started(_ time.Time, c Candidate[K], _ float64) {
+	if r.passes == nil {
+		r.passes = make(map[K]float64)
+	}
+	due := r.due(c.Key)
+	r.virtual = max(r.virtual, due)
+	r.passes[c.Key] = due + 1/c.Weight
+	if len(r.passes) > maxIdleTenants {
+		r.sweep()
+	}
+}
+
+func (r *RoundRobin[K]) due(k K) float64 {
+	return max(r.passes[k], r.virtual)
+}
+
+func (r *RoundRobin[K]) sweep() {
+	for k, v := range r.passes {
+		if v <= r.virtual {
+			delete(r.passes, k)
+		}
+	}
+}
+
+// Share serves the key that runs the smallest weighted share of what it could
+// run alone. The zero value is ready.
+type Share[K comparable] struct{}
+
+// Next implements Policy.
+func (Share[K]) Next(_ time.Time, waiting []Candidate[K]) int {
+	best := 0
+	least := waiting[0].share()
+	for i := 1; i < len(waiting); i++ {
+		s := waiting[i].share()
+		if s < least || s == least && waiting[i].Since.Before(waiting[best].Since) {
+			best, least = i, s
+		}
+	}
+	return best
+}
+
+// Started implements Policy.
+func (Share[K]) Started(time.Time, Candidate[K], float64) {}
+
+func (c *Candidate[K]) share() float64 {
+	return c.Running / (c.Alone * c.Weight)
+}
--- /dev/null
+++ b/internal/control/cell/schedule.go
@@ -0,0 +1,112 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/clock"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+)
+
+// schedule places waiting requests while there are free slots.
+func (c *Cell) schedule(now time.Time) {
+	if !c.settle.over(now) {
+		return
+	}
+	for c.servers.free() > 0 && c.step(now) {
+		continue
+	}
+}
+
+// step places one request and reports whether it could.
+func (c *Cell) step(now time.Time) bool {
+	if c.stepClass(now, fleet.Critical) {
+		return true
+	}
+	floor := c.Settings.TrainingFloor * float64(c.servers.capacity)
+	if float64(c.load.running[fleet.Training]) < floor && c.stepClass(now, fleet.Training) {
+		return true
+	}
+	return c.stepClass(now, fleet.Live) || c.stepClass(now, fleet.Training)
+}
+
+func (c *Cell) stepClass(now time.Time, class fleet.Class) bool {
+	if len(c.queued[class]) == 0 {
+		return false
+	}
+	c.candidates(now, class)
+	for len(c.scratch) > 0 {
+		i := c.policy().Next(now, c.scratch)
+		chosen := c.scratch[i]
+		it, s := c.placeable(now, chosen.Key, class)
+		if s != nil {
+			c.dequeue(it)
+			c.place(now, it, s)
+			c.policy().Started(now, chosen, float64(max(it.ask.Request.Tokens, 1)))
+			return true
+		}
+		c.scratch = slices.Delete(c.scratch, i, i+1)
+	}
+	return false
+}
+
+// candidates fills scratch with the workspaces whose waiting requests a free
+// slot may suit.
+func (c *Cell) candidates(now time.Time, class fleet.Class) {
+	c.scratch = c.scratch[:0]
+	standard, spot := c.servers.open(now)
+	for _, t := range c.queued[class] {
+		if !standard && (!spot || t.queues[class][1].waiting == 0) {
+			continue
+		}
+		c.scratch = append(c.scratch, Candidate[fleet.Workspace]{
+			Key:     t.workspace,
+			Since:   t.oldest(class),
+			Running: float64(t.running),
+			Alone:   float64(max(c.servers.alone(t.spotAllowed), 1)),
+			Weight:  t.weight,
+		})
+	}
+}
+
+// placeable returns a waiting request of a workspace and a server for it, with
+// the oldest first; the server is nil when none can be placed.
+func (c *Cell) placeable(now time.Time, w fleet.Workspace, class fleet.Class) (*item, *serverState) {
+	t := c.tenant(w)
+	first, second := &t.queues[class][0], &t.queues[class][1]
+	if a, b := first.first(), second.first(); a == nil || b != nil && b.ask.Since.Before(a.ask.Since) {
+		first, second = second, first
+	}
+	if it, s := c.placeableIn(now, first); s != nil {
+		return it, s
+	}
+	return c.placeableIn(now, second)
+}
+
+func (c *Cell) placeableIn(now time.Time, q *queue) (*item, *serverState) {
+	tried := 0
+	for i := q.head; i < len(q.items) && tried < lookAhead; i++ {
+		it := q.items[i]
+		if it == nil || !it.queued {
+			continue
+		}
+		if clock.Passed(now, it.ask.Request.Deadline) {
+			c.refuse(now, it.ask, refusal.ReasonDeadline, now)
+			c.unqueue(it)
+			continue
+		}
+		tried++
+		if s := c.choose(now, &it.ask); s != nil {
+			return it, s
+		}
+	}
+	return nil, nil
+}
+
+func (c *Cell) policy() Policy[fleet.Workspace] {
+	if c.Policy == nil {
+		c.Policy = Share[fleet.Workspace]{}
+	}
+	return c.Policy
+}
--- /dev/null
+++ b/internal/control/cell/settings.go
@@ -0,0 +1,58 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// classes is the number of priority classes.
+const classes = int(fleet.Training) + 1
+
+const (
+	// shortTokens is the longest live answer that may run on a spot server.
+	shortTokens = 512
+	// recentWindow is how long the reserve for live work is held after the
+	// last live request.
+	recentWindow = time.Minute
+)
+
+// Settings are the parts of a cell's slots that are kept for a class. The zero
+// value keeps none.
+type Settings struct {
+	// LiveReserve is the part of the standard slots that training leaves
+	// free while live requests come, from 0 to 1.
+	LiveReserve float64
+	// TrainingFloor is the part of all slots that training may have before
+	// waiting live requests, from 0 to 1.
+	TrainingFloor float64
+	// Placement chooses among servers; nil is PrefixPlacement.
+	Placement Placement
+}
+
+// Standard returns the settings that daemons use.
+func Standard() Settings {
+	return Settings{LiveReserve: 0.1, TrainingFloor: 0.2}
+}
+
+// classLoad counts what runs, a class.
+type classLoad struct {
+	running [classes]int
+	// standard counts those on standard servers.
+	standard [classes]int
+	// liveAt is when a request that is not for training last came.
+	liveAt time.Time
+}
+
+func (l *classLoad) add(g *grant, n int) {
+	class := classOf(g.ask.Request.Class)
+	l.running[class] += n
+	if g.server.server.Kind != fleet.Spot {
+		l.standard[class] += n
+	}
+}
+
+// classOf maps an unknown class to the least urgent one.
+func classOf(c fleet.Class) fleet.Class {
+	return min(c, fleet.Training)
+}
--- /dev/null
+++ b/internal/control/limit/limit_test.go
@@ -0,0 +1,104 @@
+package limit
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/seed"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	key   = Key{Workspace: "a", Setting: "RequestsPerSecond"}
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", fmt.Sprint(seed.Value()))
+	_ = flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m)
+}
+
+func member(i int) fleet.MemberID {
+	return fleet.MemberID{Incarnation: fleet.Incarnation(fmt.Sprint(i))}
+}
+
+func TestSharesFollowDemand(t *testing.T) {
+	var l Ledger
+	now := start
+	var shares [4]float64
+	for range 20 {
+		now = now.Add(time.Second)
+		for i := range shares {
+			shares[i] = l.Ask(now, key, member(i), float64(10*i), 4)
+		}
+	}
+	must.InDelta(t, 0.025, shares[0], 0.001)
+	must.InDelta(t, 0.475, shares[3], 0.001)
+}
+
+func TestIsolatedDaemonHasAnEqualShare(t *testing.T) {
+	var s Share
+	must.Eq(t, 0.25, s.Part(start, 4))
+	s.Give(start, 0.7)
+	must.Eq(t, 0.7, s.Part(start.Add(ShareWindow-1), 4))
+	must.Eq(t, 0.25, s.Part(start.Add(ShareWindow), 4))
+}
+
+func TestBucket(t *testing.T) {
+	var b Bucket
+	n := 0
+	now := start
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if ok, at := b.Take(now, 20, 1); ok {
+			n++
+		} else {
+			must.True(t, at.After(now))
+		}
+	}
+	must.Between(t, 200, n, 241)
+	ok, _ := b.Take(now.Add(time.Minute), 20, 1000)
+	must.True(t, ok, must.Sprint("what exceeds the burst is taken when it is full"))
+	ok, _ = b.Take(now.Add(61*time.Second), 20, 1)
+	must.False(t, ok, must.Sprint("and paid off afterwards"))
+	ok, _ = b.Take(now, 0, 1)
+	must.False(t, ok)
+}
+
+// TestSumOfShares drives one ledger and daemons that are now and then cut off:
+// what all may spend together stays within the limit, but for daemons that
+// fall back to an equal share larger than their last one.
+func TestSumOfShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const members = 5
+		var l Ledger
+		var shares [members]Share
+		now := start.Add(time.Hour)
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, members-1).Draw(t, "daemon")
+			sent := now.Add(-time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond)
+			part := l.Ask(now, key, member(i), rapid.Float64Range(0, 100).Draw(t, "demand"), members)
+			if rapid.Bool().Draw(t, "answered") {
+				shares[i].Give(sent, part)
+			}
+			sum, isolated := 0.0, 0
+			for j := range shares {
+				p := shares[j].Part(now, members)
+				sum += p
+				if p == 1.0/members {
+					isolated++
+				}
+			}
+			must.LessEq(t, 1+float64(isolated)/members+1e-9, sum)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/server/directory_test.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func live(ids ...fleet.ServerID) []fleet.Server {
+	var out []fleet.Server
+	for _, id := range ids {
+		out = append(out, fleet.Server{ID: id, State: fleet.StateLive, FailureDomain: "lima-a", Region: "lima", Pool: "p"})
+	}
+	return out
+}
+
+func TestLeavingSticks(t *testing.T) {
+	var d Directory
+	must.Eq(t, []Event{{Kind: Opened, Server: "a"}, {Kind: Opened, Server: "b"}}, d.List(start, live("a", "b")))
+	must.Eq(t, []Event{{Kind: Closed, Server: "a"}}, d.Leave(start, "a"))
+	must.SliceEmpty(t, d.List(start.Add(time.Minute), live("a", "b")), must.Sprint("an old list changes nothing"))
+	d.List(start.Add(2*time.Minute), live("b"))
+	must.SliceEmpty(t, d.List(start.Add(3*time.Minute), live("a", "b")), must.Sprint("nor one that brings it back"))
+	must.False(t, d.Snapshot().Usable("a"))
+	must.Eq(t, []fleet.ServerID{"a"}, d.Leaving())
+}
+
+func TestNoticeBeforeTheList(t *testing.T) {
+	var d Directory
+	must.SliceEmpty(t, d.Leave(start, "a"))
+	must.SliceEmpty(t, d.List(start.Add(time.Second), live("a")))
+	s := d.Snapshot()
+	v, ok := s.Server("a")
+	must.True(t, ok)
+	must.Eq(t, fleet.StateLeaving, v.State)
+	must.SliceEmpty(t, s.UsableIn("lima", "p"))
+}
+
+func TestDrainIsTakenBack(t *testing.T) {
+	var d Directory
+	d.List(start, live("a"))
+	must.Eq(t, []Event{{Kind: Closed, Server: "a"}}, d.Drain([]fleet.FailureDomain{"lima-a"}))
+	must.Eq(t, []Event{{Kind: Opened, Server: "a"}}, d.Drain(nil))
+}
+
+func TestGoneServersAreForgotten(t *testing.T) {
+	var d Directory
+	d.List(start, live("a"))
+	d.Leave(start, "a")
+	d.List(start.Add(time.Second), nil)
+	must.SliceEmpty(t, d.Leaving())
+	d.List(start.Add(forgetAfter/2), nil)
+	must.MapLen(t, 1, d.entries)
+	d.List(start.Add(2*forgetAfter), nil)
+	must.MapEmpty(t, d.entries)
+}
+
+func TestRegistryPublishes(t *testing.T) {
+	r := NewRegistry()
+	old := r.Snapshot()
+	r.List(start, live("a"))
+	<-old.Superseded
+	must.Eq(t, 1, r.Snapshot().Count(Place{Region: "lima", Pool: "p"}))
+	old = r.Snapshot()
+	must.SliceEmpty(t, r.Leave(start, "never-seen"))
+	<-old.Superseded
+	must.Eq(t, []fleet.ServerID{"never-seen"}, r.Snapshot().Leaving)
+	must.Eq(t, []Place{{Region: "lima", Pool: "p"}}, r.Snapshot().Places())
+	r.Drain([]fleet.FailureDomain{"lima-a"})
+	must.SliceEmpty(t, r.Snapshot().Places())
+}
--- /dev/null
+++ b/internal/control/server/registry.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// Registry holds a Directory for many goroutines: control parts feed it, and
+// traffic reads snapshots. Use NewRegistry.
+type Registry struct {
+	mutex sync.Mutex
+	// directory is guarded by mutex.
+	directory Directory
+	// superseded is that of the current snapshot; guarded by mutex.
+	superseded chan struct{}
+	// current is never nil.
+	current atomic.Pointer[Snapshot]
+}
+
+// NewRegistry returns a registry that knows no server.
+func NewRegistry() *Registry {
+	r := &Registry{}
+	r.publish()
+	return r
+}
+
+// Drain replaces the drained failure domains.
+func (r *Registry) Drain(domains []fleet.FailureDomain) []Event {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.settle(r.directory.Drain(domains))
+}
+
+// Leave takes a notice that servers leave.
+func (r *Registry) Leave(now time.Time, ids ...fleet.ServerID) []Event {
+	if len(ids) == 0 {
+		return nil
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	events := r.directory.Leave(now, ids...)
+	if len(events) == 0 && slices.Equal(r.directory.Leaving(), r.current.Load().Leaving) {
+		return nil
+	}
+	r.publish()
+	return events
+}
+
+// List takes a copy of the VM list.
+func (r *Registry) List(now time.Time, servers []fleet.Server) []Event {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	events := r.directory.List(now, servers)
+	r.publish()
+	return events
+}
+
+// Snapshot returns the newest snapshot, never nil.
+func (r *Registry) Snapshot() *Snapshot {
+	return r.current.Load()
+}
+
+func (r *Registry) publish() {
+	s := r.directory.Snapshot()
+	c := make(chan struct{})
+	s.Superseded = c
+	old := r.superseded
+	r.superseded = c
+	r.current.Store(s)
+	if old != nil {
+		close(old)
+	}
+}
+
+func (r *Registry) settle(events []Event) []Event {
+	if len(events) > 0 {
+		r.publish()
+	}
+	return events
+}
--- /dev/null
+++ b/internal/control/server/snapshot.go
@@ -0,0 +1,65 @@
+package server
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// Snapshot is an immutable copy of a Directory. Its methods may be called from
+// any goroutine.
+type Snapshot struct {
+	// Servers are the servers that the newest list shows, in the order of
+	// their IDs; those that leave have StateLeaving.
+	Servers []fleet.Server
+	// Leaving are the IDs known to leave and not yet gone, in order. It may
+	// name servers that no list has shown yet.
+	Leaving []fleet.ServerID
+	// Superseded is closed when a newer Snapshot exists; nil when the
+	// snapshot was not made by a Registry.
+	Superseded <-chan struct{}
+	servers    map[fleet.ServerID]fleet.Server
+	usable     map[fleet.ServerID]bool
+	counts     map[Place]int
+}
+
+// Place names the servers of a pool in a region.
+type Place struct {
+	Region fleet.Region
+	Pool   fleet.Pool
+}
+
+// Count returns how many servers of a pool in a region may be given new work.
+func (s *Snapshot) Count(p Place) int {
+	return s.counts[p]
+}
+
+// Places returns the places that have servers which may be given new work, in
+// no order.
+func (s *Snapshot) Places() []Place {
+	return slices.Collect(maps.Keys(s.counts))
+}
+
+// Server returns a server by its ID.
+func (s *Snapshot) Server(id fleet.ServerID) (fleet.Server, bool) {
+	v, ok := s.servers[id]
+	return v, ok
+}
+
+// Usable reports whether a server may be given new work.
+func (s *Snapshot) Usable(id fleet.ServerID) bool {
+	return s.usable[id]
+}
+
+// UsableIn returns the servers of a pool in a region that may be given new
+// work, in the order of their IDs.
+func (s *Snapshot) UsableIn(r fleet.Region, p fleet.Pool) []fleet.Server {
+	var out []fleet.Server
+	for _, v := range s.Servers {
+		if v.Region == r && v.Pool == p && s.usable[v.ID] {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/grant/client.go
@@ -0,0 +1,321 @@
+package grant
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/clock"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/cell"
+	"github.com/lacewingtally/lacewingtally/internal/control/server"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+)
+
+const (
+	// answerMargin is how much longer than pollWindow an answer may take.
+	answerMargin = 500 * time.Millisecond
+	// avoidWindow is how long a dispatcher that did not answer is passed over.
+	avoidWindow = time.Second
+	// releaseTimeout bounds one sending of a release.
+	releaseTimeout = time.Second
+	// releaseTries is how often a release is sent; a registration settles
+	// what was lost.
+	releaseTries = 3
+	// maxReleases bounds the releases that are on their way.
+	maxReleases = 512
+	// insistAfter is how many answers in a row that a cell has moved make a
+	// client insist.
+	insistAfter = 2
+)
+
+// ErrLeaving says that the server of a grant leaves or the grant is over.
+var ErrLeaving = errors.New("grant: server leaving")
+
+// Client asks dispatchers for grants; it implements gate.Gate. Use NewClient.
+type Client struct {
+	self       fleet.Member
+	caller     wire.Caller
+	view       view.Source
+	servers    *server.Registry
+	dispatcher *Dispatcher
+	recorder   timeline.Recorder
+	// asked counts asks.
+	asked atomic.Uint64
+	// releases holds a place for each release on its way.
+	releases chan struct{}
+	peers    peers
+	limits   limits
+	running  running
+	group    sync.WaitGroup
+	// stopped is closed when Serve returns.
+	stopped chan struct{}
+}
+
+// Option changes a Client.
+type Option func(*Client)
+
+// WithRecorder makes a client record events.
+func WithRecorder(r timeline.Recorder) Option {
+	return func(c *Client) { c.recorder = r }
+}
+
+// NewClient returns a client of the daemon self, whose own dispatcher is d.
+func NewClient(self fleet.Member, w wire.Caller, v view.Source, s *server.Registry, d *Dispatcher, opts ...Option) *Client {
+	c := &Client{
+		self:       self,
+		caller:     w,
+		view:       v,
+		servers:    s,
+		dispatcher: d,
+		releases:   make(chan struct{}, maxReleases),
+		stopped:    make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+// Acquire implements gate.Gate.
+func (c *Client) Acquire(ctx context.Context, r gate.Request) (gate.Grant, error) {
+	now := time.Now()
+	charged, err := c.limits.spend(now, c.view.State(), &r)
+	if err != nil {
+		return gate.Grant{}, err
+	}
+	a := &asking{
+		charged: charged,
+		id:      cell.AskID(c.self.ID.String() + "/" + strconv.FormatUint(c.asked.Add(1), 10)),
+		request: r,
+		since:   now,
+	}
+	g, err := c.acquire(ctx, a)
+	if err != nil {
+		c.limits.refund(time.Now(), c.view.State(), &r, charged)
+		return gate.Grant{}, err
+	}
+	c.record(timeline.Event{Kind: timeline.RequestGranted, Request: r.ID, Workspace: r.Workspace, Server: g.Server.ID})
+	return g, nil
+}
+
+// Check returns ErrLeaving when a grant must not be used any more. The traffic
+// path calls it as the last step before it sends.
+func (c *Client) Check(now time.Time, g gate.Grant) error {
+	if clock.Passed(now, g.NotAfter) || !c.servers.Snapshot().Usable(g.Server.ID) {
+		return ErrLeaving
+	}
+	return nil
+}
+
+// Leave takes a notice that servers leave and passes it on to every daemon.
+func (c *Client) Leave(now time.Time, ids ...fleet.ServerID) {
+	events := c.servers.Leave(now, ids...)
+	for _, e := range events {
+		if e.Kind == server.Closed {
+			c.record(timeline.Event{Kind: timeline.ServerLeaving, Server: e.Server})
+		}
+	}
+	if len(events) > 0 {
+		c.peers.notify()
+	}
+}
+
+// Release implements gate.Gate.
+func (c *Client) Release(g gate.Grant, r gate.Report) {
+	u, ok := c.running.remove(g.ID)
+	if !ok {
+		return
+	}
+	c.limits.settle(time.Now(), c.view.State(), &g.Request, u.charged, r)
+	c.giveBack(g, r)
+}
+
+// Serve registers what runs, asks for shares of the limits and passes notices
+// on, until the context ends.
+func (c *Client) Serve(ctx context.Context) error {
+	defer c.group.Wait()
+	defer close(c.stopped)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.registerAll(ctx) })
+	g.Go(func() error { return c.demandAll(ctx) })
+	return g.Wait()
+}
+
+// attempt asks once. Its error is errAgain when the request should be asked
+// for again, else a refusal.
+func (c *Client) attempt(ctx context.Context, a *asking) (gate.Grant, error) {
+	sent := time.Now()
+	if err := a.over(ctx, sent); err != nil {
+		return gate.Grant{}, err
+	}
+	id, m, err := c.choose(sent, a)
+	if err != nil {
+		return gate.Grant{}, err
+	}
+	answer, err := c.send(ctx, m, c.message(sent, id, a))
+	if err != nil {
+		c.peers.avoid(time.Now(), m.ID)
+		a.backoff = true
+		return gate.Grant{}, errAgain
+	}
+	now := time.Now()
+	c.servers.Leave(now, answer.Leaving...)
+	c.peers.summarise(now, id, answer.Summary)
+	switch answer.Outcome {
+	case outcomeGranted:
+		return c.accept(now, sent, a, answer)
+	case outcomeRefused:
+		return gate.Grant{}, refusal.NotRun(answer.Reason, now.Add(answer.RetryIn), nil)
+	case outcomeMoved:
+		a.moved++
+		a.backoff = true
+		return gate.Grant{}, errAgain
+	default:
+		a.moved = 0
+		return gate.Grant{}, errAgain
+	}
+}
+
+// accept takes a grant unless it came too late or its server leaves.
+func (c *Client) accept(now, sent time.Time, a *asking, v askAnswer) (gate.Grant, error) {
+	g := gate.Grant{ID: v.Grant, Server: v.Server, NotAfter: sent.Add(v.Left), Request: a.request}
+	if c.Check(now, g) == nil {
+		c.running.add(g.ID, used{grant: g, ask: a.id, charged: a.charged})
+		return g, nil
+	}
+	a.backoff = true
+	a.id = cell.AskID(string(a.id) + "+")
+	c.giveBack(g, gate.Report{Outcome: gate.Stopped})
+	return gate.Grant{}, errAgain
+}
+
+// acquire asks until there is a grant or a refusal.
+func (c *Client) acquire(ctx context.Context, a *asking) (gate.Grant, error) {
+	for {
+		g, err := c.attempt(ctx, a)
+		if err == nil || !errors.Is(err, errAgain) {
+			return g, err
+		}
+		if err := a.pause(ctx); err != nil {
+			return gate.Grant{}, err
+		}
+	}
+}
+
+// choose returns the cell to ask and its dispatcher.
+func (c *Client) choose(now time.Time, a *asking) (cell.ID, fleet.Member, error) {
+	r := &a.request
+	place := server.Place{Region: c.self.Region, Pool: r.Pool}
+	n := c.servers.Snapshot().Count(place)
+	if n == 0 {
+		return cell.ID{}, fleet.Member{}, refusal.NotRun(refusal.ReasonNoServer, now.Add(noServerRetry), nil)
+	}
+	busy, random := c.peers.busy(now)
+	id := cell.Choose(place.Region, place.Pool, cell.Of(n), r.Prefix, busy, random)
+	m, ok := id.Dispatcher(c.peers.reachable(now, c.view.State().Members))
+	if !ok {
+		return cell.ID{}, fleet.Member{}, refusal.NotRun(refusal.ReasonNoServer, now.Add(noServerRetry), nil)
+	}
+	return id, m, nil
+}
+
+// giveBack sends a release, unless too many are on their way.
+func (c *Client) giveBack(g gate.Grant, r gate.Report) {
+	select {
+	case c.releases <- struct{}{}:
+	default:
+		return
+	}
+	c.group.Go(func() {
+		defer func() { <-c.releases }()
+		c.release(g, r)
+	})
+}
+
+func (c *Client) message(now time.Time, id cell.ID, a *asking) askMessage {
+	m := askMessage{
+		ID:        a.id,
+		Entry:     c.self.ID,
+		Cell:      id,
+		Request:   a.request,
+		Age:       now.Sub(a.since),
+		Remaining: a.request.Deadline.Sub(now),
+		Insist:    a.moved >= insistAfter,
+		Leaving:   c.servers.Snapshot().Leaving,
+	}
+	m.Request.Deadline = time.Time{}
+	return m
+}
+
+func (c *Client) record(e timeline.Event) {
+	if c.recorder != nil {
+		c.recorder.Record(e)
+	}
+}
+
+// release tells the dispatcher of the grant's server that the grant is over.
+func (c *Client) release(g gate.Grant, r gate.Report) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-c.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	for range releaseTries {
+		now := time.Now()
+		id, m, ok := c.home(now, g.Server)
+		if !ok {
+			return
+		}
+		answer, err := c.sendRelease(ctx, m, releaseMessage{Cell: id, Grant: g.ID, Report: r})
+		if err == nil {
+			c.servers.Leave(now, answer.Leaving...)
+			c.peers.summarise(now, id, answer.Summary)
+			return
+		}
+		c.peers.avoid(time.Now(), m.ID)
+	}
+}
+
+// home returns the cell that a server is in now, and its dispatcher.
+func (c *Client) home(now time.Time, s fleet.Server) (cell.ID, fleet.Member, bool) {
+	n := c.servers.Snapshot().Count(server.Place{Region: s.Region, Pool: s.Pool})
+	id := cell.Home(s, n)
+	m, ok := id.Dispatcher(c.peers.reachable(now, c.view.State().Members))
+	return id, m, ok
+}
+
+func (c *Client) send(ctx context.Context, to fleet.Member, m askMessage) (askAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, pollWindow+answerMargin)
+	defer cancel()
+	if to.ID == c.self.ID {
+		return c.dispatcher.ask(ctx, m)
+	}
+	var a askAnswer
+	err := c.caller.Call(ctx, to.ID.Address, wire.KindAsk, m, &a)
+	return a, err
+}
+
+func (c *Client) sendRelease(ctx context.Context, to fleet.Member, m releaseMessage) (settledAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if to.ID == c.self.ID {
+		return c.dispatcher.release(ctx, m)
+	}
+	var a settledAnswer
+	err := c.caller.Call(ctx, to.ID.Address, wire.KindRelease, m, &a)
+	return a, err
+}
--- /dev/null
+++ b/internal/peer/grant/world_test.go
@@ -0,0 +1,196 @@
+package grant
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/control/server"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+)
+
+const (
+	testRegion = "cz-stred"
+	testPool   = "assistant"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// source is a view that tests set.
+type source struct {
+	mutex   sync.Mutex
+	current atomic.Pointer[view.State]
+	old     chan struct{}
+}
+
+func (s *source) State() *view.State {
+	return s.current.Load()
+}
+
+func (s *source) set(c *config.Snapshot, members []fleet.Member) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	next := make(chan struct{})
+	s.current.Store(&view.State{Config: c, Members: members, ConfirmedUntil: time.Now().Add(time.Hour), Superseded: next})
+	if s.old != nil {
+		close(s.old)
+	}
+	s.old = next
+}
+
+// daemon is one daemon of a test.
+type daemon struct {
+	member     fleet.Member
+	view       *source
+	servers    *server.Registry
+	dispatcher *Dispatcher
+	client     *Client
+	stop       context.CancelFunc
+	stopped    chan struct{}
+}
+
+// world is a few daemons on one network.
+type world struct {
+	t       *testing.T
+	network wire.Memory
+	daemons []*daemon
+	config  *config.Snapshot
+	list    []fleet.Server
+}
+
+func newWorld(t *testing.T, daemons, servers, capacity int) *world {
+	w := &world{t: t, config: config.NewSnapshot(config.Config{})}
+	for i := range servers {
+		w.list = append(w.list, fleet.Server{
+			ID:            fleet.ServerID(fmt.Sprintf("server-%02d", i)),
+			Address:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 80),
+			Region:        testRegion,
+			FailureDomain: fleet.FailureDomain(fmt.Sprintf("praha-%d", i%3)),
+			Pool:          testPool,
+			Kind:          fleet.Standard,
+			State:         fleet.StateLive,
+			Capacity:      capacity,
+		})
+	}
+	for i := range daemons {
+		w.start(i, "a")
+	}
+	w.spread()
+	return w
+}
+
+// start starts a daemon; i is its place, replacing the one that had it.
+func (w *world) start(i int, inc fleet.Incarnation) *daemon {
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7000)
+	m := fleet.Member{ID: fleet.MemberID{Address: at, Incarnation: inc}, Region: testRegion}
+	d := &daemon{member: m, view: &source{}, servers: server.NewRegistry(), stopped: make(chan struct{})}
+	d.view.set(w.config, []fleet.Member{m})
+	d.servers.List(time.Now(), w.list)
+	mux := &wire.Mux{}
+	d.dispatcher = NewDispatcher(m, d.view, d.servers)
+	d.dispatcher.Handle(mux)
+	d.client = NewClient(m, w.network.Attach(at, mux), d.view, d.servers, d.dispatcher)
+	ctx, cancel := context.WithCancel(w.t.Context())
+	d.stop = cancel
+	var g sync.WaitGroup
+	g.Go(func() { _ = d.dispatcher.Serve(ctx) })
+	g.Go(func() { _ = d.client.Serve(ctx) })
+	go func() {
+		g.Wait()
+		close(d.stopped)
+	}()
+	if i < len(w.daemons) {
+		w.daemons[i] = d
+	} else {
+		w.daemons = append(w.daemons, d)
+	}
+	return d
+}
+
+// kill takes a daemon off the network and stops it.
+func (w *world) kill(d *daemon) {
+	w.network.Attach(d.member.ID.Address, nil)
+	d.stop()
+	<-d.stopped
+}
+
+// spread gives every daemon the view that all in live are members.
+func (w *world) spread(without ...*daemon) {
+	var members []fleet.Member
+	for _, d := range w.daemons {
+		out := false
+		for _, x := range without {
+			out = out || x == d
+		}
+		if !out {
+			members = append(members, d.member)
+		}
+	}
+	for _, d := range w.daemons {
+		d.view.set(w.config, members)
+	}
+}
+
+func (w *world) end() {
+	for _, d := range w.daemons {
+		d.stop()
+	}
+	for _, d := range w.daemons {
+		<-d.stopped
+	}
+}
+
+// owner returns the daemon that dispatches for the pool's one cell.
+func (w *world) owner() *daemon {
+	s := w.daemons[0].servers.Snapshot()
+	n := s.Count(server.Place{Region: testRegion, Pool: testPool})
+	must.Positive(w.t, n)
+	_, m, ok := w.daemons[0].client.home(time.Now(), w.list[0])
+	must.True(w.t, ok)
+	for _, d := range w.daemons {
+		if d.member.ID == m.ID {
+			return d
+		}
+	}
+	w.t.Fatal("no owner")
+	return nil
+}
+
+func (w *world) other(d *daemon) *daemon {
+	for _, o := range w.daemons {
+		if o != d {
+			return o
+		}
+	}
+	return nil
+}
+
+func ask(id string, wait time.Duration) gate.Request {
+	return gate.Request{
+		ID:        fleet.RequestID(id),
+		Workspace: "bakery",
+		Pool:      testPool,
+		Class:     fleet.Live,
+		Tokens:    100,
+		Deadline:  time.Now().Add(wait),
+	}
+}
+
+func bubble(t *testing.T, f func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, f)
+}
