Carry calls between daemons in TCP frames

Cause: grants, evidence and time line events need calls that can be long, be cancelled, and fail within seconds when a connection goes silent. Ruled out: one connection a call (a handshake for each grant); HTTP between daemons (no cancel frame, larger headers); pings by both ends all the time (by arithmetic eight small frames a second and connection). Before: the in-process network only. After: frames with a version, a size bound, a write deadline, bounded queues; the calling end pings only when it has written nothing for a second; idle connections are closed; an outcome is NotSent only if no byte was written. Tests: own answers, cancel, silence, idle, bad frames counted, TLS claim; rapid round trip; fuzz target.

--- /dev/null
+++ b/internal/peer/wire/client.go
@@ -0,0 +1,268 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// dialLimit is how long setting up a connection may take.
+const dialLimit = 2 * time.Second
+
+// Client is a Caller over TCP with one connection to each peer, which carries
+// many calls at once. Use NewClient.
+type Client struct {
+	self  netip.AddrPort
+	dial  Dialer
+	count *Counters
+
+	mutex    sync.Mutex
+	sessions map[netip.AddrPort]*session
+	closed   bool
+	wait     sync.WaitGroup
+}
+
+// Dialer connects to the daemon at to and authenticates it.
+type Dialer func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+
+// hello is the body of the first frame of each connection.
+type hello struct {
+	// Address is where the calling daemon is called.
+	Address netip.AddrPort
+}
+
+// session is one connection and the calls on it.
+type session struct {
+	// ready is closed when link or err is set.
+	ready chan struct{}
+	link  *frameLink
+	err   error
+
+	mutex sync.Mutex
+	calls map[uint64]*pending
+	last  uint64
+	// ended is set when no more answers can come.
+	ended bool
+}
+
+type pending struct {
+	// done receives exactly one result.
+	done chan result
+	// sent is set just before the first byte of the call is written.
+	sent bool
+}
+
+type result struct {
+	frame frame
+	err   error
+}
+
+// NewClient returns a client for the daemon whose peers call it at self.
+func NewClient(self netip.AddrPort, dial Dialer, count *Counters) *Client {
+	return &Client{self: self, dial: dial, count: count, sessions: make(map[netip.AddrPort]*session)}
+}
+
+// Call implements Caller.
+func (c *Client) Call(ctx context.Context, to netip.AddrPort, k Kind, request, response any) error {
+	body, err := msgpack.Marshal(request)
+	if err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	if len(body) > MaxBody {
+		return errors.Wrapf(ErrNotSent, "body of %d bytes", len(body))
+	}
+	s, err := c.session(ctx, to)
+	if err != nil {
+		return errors.Wrap(ErrNotSent, err.Error())
+	}
+	answer, err := s.call(ctx, k, body)
+	if err != nil {
+		return err
+	}
+	if response == nil {
+		return nil
+	}
+	if err := msgpack.Unmarshal(answer, response); err != nil {
+		s.link.close()
+		return errors.Wrapf(ErrLost, "answer does not decode: %v", err)
+	}
+	return nil
+}
+
+// Close ends all connections and waits for their goroutines.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	c.closed = true
+	for _, s := range c.sessions {
+		go s.close()
+	}
+	c.mutex.Unlock()
+	c.wait.Wait()
+}
+
+func (c *Client) drop(to netip.AddrPort, s *session) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.sessions[to] == s {
+		delete(c.sessions, to)
+	}
+}
+
+// open connects s and reads its answers until it fails.
+func (c *Client) open(to netip.AddrPort, s *session) {
+	defer c.wait.Done()
+	defer c.drop(to, s)
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	conn, err := c.dial(ctx, to)
+	cancel()
+	if err != nil {
+		s.err = err
+		close(s.ready)
+		return
+	}
+	s.link = newLink(conn, c.count)
+	s.link.open = s.open
+	body, err := msgpack.Marshal(hello{Address: c.self})
+	if err == nil {
+		err = s.link.send(frame{kind: frameHello, body: body}, nil)
+	}
+	s.err = err
+	close(s.ready)
+	c.wait.Add(1)
+	go func() {
+		defer c.wait.Done()
+		s.link.write()
+	}()
+	err = s.link.read(s.answer)
+	c.drop(to, s)
+	s.end(err)
+}
+
+func (c *Client) session(ctx context.Context, to netip.AddrPort) (*session, error) {
+	c.mutex.Lock()
+	if c.closed {
+		c.mutex.Unlock()
+		return nil, net.ErrClosed
+	}
+	s := c.sessions[to]
+	if s == nil {
+		s = &session{ready: make(chan struct{}), calls: make(map[uint64]*pending)}
+		c.sessions[to] = s
+		c.wait.Add(1)
+		go c.open(to, s)
+	}
+	c.mutex.Unlock()
+	select {
+	case <-s.ready:
+		return s, s.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// answer hands an answer to its call. Answers of calls that have ended are
+// dropped.
+func (s *session) answer(f frame) error {
+	if f.kind != frameAnswer && f.kind != frameFail {
+		return errors.Wrapf(ErrFrame, "type %d from the called end", f.kind)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p := s.calls[f.id]
+	if p == nil {
+		return nil
+	}
+	delete(s.calls, f.id)
+	p.done <- result{frame: f}
+	return nil
+}
+
+func (s *session) call(ctx context.Context, k Kind, body []byte) ([]byte, error) {
+	id, p, err := s.start(k, body)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	select {
+	case r := <-p.done:
+		if r.err != nil {
+			return nil, r.err
+		}
+		if r.frame.kind == frameFail {
+			return nil, errors.Wrap(ErrRemote, string(r.frame.body))
+		}
+		return r.frame.body, nil
+	case <-ctx.Done():
+		return nil, s.cancel(id, p, ctx.Err())
+	}
+}
+
+// cancel forgets a call and tells the peer.
+func (s *session) cancel(id uint64, p *pending, cause error) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.calls, id)
+	// A cancel frame follows its call in the queue; when the queue is full the
+	// peer's handler ends with the connection instead.
+	if err := s.link.send(frame{kind: frameCancel, id: id}, nil); errors.Is(err, errQueue) {
+		s.link.close()
+	}
+	return lost(p, cause)
+}
+
+func (s *session) close() {
+	<-s.ready
+	if s.link != nil {
+		s.link.close()
+	}
+}
+
+// end fails all calls.
+func (s *session) end(cause error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = true
+	for id, p := range s.calls {
+		delete(s.calls, id)
+		p.done <- result{err: lost(p, cause)}
+	}
+}
+
+// open returns the number of open calls.
+func (s *session) open() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.calls)
+}
+
+func (s *session) start(k Kind, body []byte) (uint64, *pending, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ended {
+		return 0, nil, net.ErrClosed
+	}
+	s.last++
+	p := &pending{done: make(chan result, 1)}
+	sending := func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		p.sent = true
+	}
+	if err := s.link.send(frame{kind: frameCall, call: k, id: s.last, body: body}, sending); err != nil {
+		return 0, nil, err
+	}
+	s.calls[s.last] = p
+	return s.last, p, nil
+}
+
+// lost returns ErrNotSent or ErrLost for a call that got no answer.
+func lost(p *pending, cause error) error {
+	if p.sent {
+		return errors.Wrap(ErrLost, cause.Error())
+	}
+	return errors.Wrap(ErrNotSent, cause.Error())
+}
--- /dev/null
+++ b/internal/peer/wire/frame.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MaxBody is the largest body of a frame, in bytes.
+	MaxBody = 1 << 20
+	// version is the protocol version; both ends must have the same.
+	version = 1
+	// headerSize is the size of a frame's header, in bytes: body length (4),
+	// version (1), type (1), kind (1), call ID (8).
+	headerSize = 15
+)
+
+// Types of frame. The numbers are part of the protocol.
+const (
+	frameHello  frameType = 1
+	frameCall   frameType = 2
+	frameAnswer frameType = 3
+	frameFail   frameType = 4
+	frameCancel frameType = 5
+	framePing   frameType = 6
+	framePong   frameType = 7
+)
+
+// ErrFrame says that a frame does not decode; its connection is closed.
+var ErrFrame = errors.New("wire: bad frame")
+
+type frame struct {
+	kind frameType
+	call Kind
+	// id is chosen by the calling end and unique on its connection.
+	id   uint64
+	body []byte
+}
+
+type frameType uint8
+
+// appendFrame appends the encoding of f to b.
+func appendFrame(b []byte, f frame) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(len(f.body)))
+	b = append(b, version, byte(f.kind), byte(f.call))
+	b = binary.BigEndian.AppendUint64(b, f.id)
+	return append(b, f.body...)
+}
+
+// readFrame reads one frame. Its errors are ErrFrame and those of r.
+func readFrame(r *bufio.Reader) (frame, error) {
+	var h [headerSize]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return frame{}, err
+	}
+	size := binary.BigEndian.Uint32(h[:4])
+	if size > MaxBody {
+		return frame{}, errors.Wrapf(ErrFrame, "body of %d bytes", size)
+	}
+	if h[4] != version {
+		return frame{}, errors.Wrapf(ErrFrame, "version %d", h[4])
+	}
+	f := frame{kind: frameType(h[5]), call: Kind(h[6]), id: binary.BigEndian.Uint64(h[7:])}
+	if f.kind < frameHello || f.kind > framePong {
+		return frame{}, errors.Wrapf(ErrFrame, "type %d", f.kind)
+	}
+	f.body = make([]byte, size)
+	if _, err := io.ReadFull(r, f.body); err != nil {
+		return frame{}, err
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/peer/wire/server.go
@@ -0,0 +1,164 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxCalls bounds the calls that one connection may have open.
+const maxCalls = 1 << 14
+
+// Server answers calls over TCP. Use NewServer.
+type Server struct {
+	mux    *Mux
+	verify Verifier
+	count  *Counters
+}
+
+// Verifier checks that the daemon on a connection may claim the address that
+// it claims.
+type Verifier func(c net.Conn, claimed netip.AddrPort) error
+
+// serving is one accepted connection.
+type serving struct {
+	server *Server
+	link   *frameLink
+	// from is zero until the hello frame.
+	from netip.AddrPort
+	wait sync.WaitGroup
+
+	mutex sync.Mutex
+	// cancels holds the open calls.
+	cancels map[uint64]context.CancelFunc
+}
+
+// NewServer returns a server of the handlers in mux.
+func NewServer(mux *Mux, verify Verifier, count *Counters) *Server {
+	return &Server{mux: mux, verify: verify, count: count}
+}
+
+// Serve accepts connections until the context ends, closes them and waits for
+// their handlers. It closes the listener.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	closeListener := func() { _ = l.Close() }
+	defer closeListener()
+	stop := context.AfterFunc(ctx, closeListener)
+	defer stop()
+	var w sync.WaitGroup
+	defer w.Wait()
+	defer cancel()
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err != nil {
+			return errors.Wrap(err, "wire: accept")
+		}
+		w.Go(func() { s.serve(ctx, c) })
+	}
+}
+
+func (s *Server) serve(ctx context.Context, c net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	v := &serving{server: s, link: newLink(c, s.count), cancels: make(map[uint64]context.CancelFunc)}
+	stop := context.AfterFunc(ctx, v.link.close)
+	defer stop()
+	v.wait.Go(v.link.write)
+	// Why the connection ended does not matter here: its calls end with it.
+	_ = v.link.read(func(f frame) error { return v.handle(ctx, f) })
+	cancel()
+	v.wait.Wait()
+}
+
+func (v *serving) cancel(id uint64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if cancel := v.cancels[id]; cancel != nil {
+		cancel()
+	}
+}
+
+func (v *serving) greet(f frame) error {
+	var h hello
+	if err := msgpack.Unmarshal(f.body, &h); err != nil {
+		return errors.Wrap(ErrFrame, err.Error())
+	}
+	if err := v.server.verify(v.link.conn, h.Address); err != nil {
+		return err
+	}
+	v.from = h.Address
+	return nil
+}
+
+func (v *serving) handle(ctx context.Context, f frame) error {
+	if !v.from.IsValid() && f.kind != frameHello {
+		return errors.Wrap(ErrFrame, "no hello")
+	}
+	switch f.kind {
+	case frameHello:
+		return v.greet(f)
+	case frameCall:
+		return v.start(ctx, f)
+	case frameCancel:
+		v.cancel(f.id)
+		return nil
+	default:
+		return errors.Wrapf(ErrFrame, "type %d from the calling end", f.kind)
+	}
+}
+
+func (v *serving) run(ctx context.Context, f frame) frame {
+	h := v.server.mux.Handler(f.call)
+	if h == nil {
+		return failure(f.id, errors.Errorf("no handler for kind %d", f.call))
+	}
+	answer, err := h(ctx, v.from, f.body)
+	if err != nil {
+		return failure(f.id, err)
+	}
+	body, err := msgpack.Marshal(answer)
+	if err != nil {
+		return failure(f.id, err)
+	}
+	if len(body) > MaxBody {
+		return failure(f.id, errors.Errorf("answer of %d bytes", len(body)))
+	}
+	return frame{kind: frameAnswer, call: f.call, id: f.id, body: body}
+}
+
+func (v *serving) start(ctx context.Context, f frame) error {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if _, ok := v.cancels[f.id]; ok || len(v.cancels) >= maxCalls {
+		return errors.Wrapf(ErrFrame, "call %d while %d are open", f.id, len(v.cancels))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	v.cancels[f.id] = cancel
+	v.wait.Go(func() {
+		defer v.finish(f.id, cancel)
+		if err := v.link.send(v.run(ctx, f), nil); err != nil {
+			v.link.close()
+		}
+	})
+	return nil
+}
+
+func (v *serving) finish(id uint64, cancel context.CancelFunc) {
+	cancel()
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	delete(v.cancels, id)
+}
+
+func failure(id uint64, err error) frame {
+	return frame{kind: frameFail, id: id, body: []byte(err.Error())}
+}
--- /dev/null
+++ b/internal/peer/wire/wire_test.go
@@ -0,0 +1,273 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/peer/mtls"
+)
+
+var (
+	alpha = netip.MustParseAddrPort("127.0.0.1:1")
+	beta  = netip.MustParseAddrPort("127.0.0.1:2")
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// pipes is a listener whose connections are in-process pipes, and their
+// dialler. Faults are set on the dialled ends.
+type pipes struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+	dialled  chan net.Conn
+	refuse   bool
+}
+
+func newPipes() *pipes {
+	return &pipes{accepted: make(chan net.Conn), closed: make(chan struct{}), dialled: make(chan net.Conn, 64)}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.accepted:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p *pipes) Close() error {
+	select {
+	case <-p.closed:
+	default:
+		close(p.closed)
+	}
+	return nil
+}
+
+func (p *pipes) dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	if p.refuse {
+		return nil, errors.New("refused")
+	}
+	c, s := net.Pipe()
+	p.accepted <- s
+	p.dialled <- c
+	return c, nil
+}
+
+func anyone(net.Conn, netip.AddrPort) error { return nil }
+
+// pair runs a server with the handlers of mux and gives f a client of it.
+func pair(t *testing.T, mux *Mux, f func(t *testing.T, c *Client, p *pipes, count *Counters)) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipes()
+		count := &Counters{}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error)
+		go func() { done <- NewServer(mux, anyone, count).Serve(ctx, p) }()
+		c := NewClient(alpha, p.dial, count)
+		f(t, c, p, count)
+		c.Close()
+		cancel()
+		must.ErrorIs(t, <-done, context.Canceled)
+	})
+}
+
+func echo(_ context.Context, _ netip.AddrPort, body []byte) (any, error) {
+	var s string
+	err := msgpack.Unmarshal(body, &s)
+	return s, err
+}
+
+func TestCallsAreAnsweredEachWithItsOwn(t *testing.T) {
+	mux := &Mux{}
+	mux.Handle(KindAsk, echo)
+	pair(t, mux, func(t *testing.T, c *Client, _ *pipes, _ *Counters) {
+		results := make(chan error, 100)
+		for i := range cap(results) {
+			go func() {
+				want := string(rune('a' + i))
+				var got string
+				err := c.Call(context.Background(), beta, KindAsk, want, &got)
+				if err == nil && got != want {
+					err = errors.Errorf("got %q, want %q", got, want)
+				}
+				results <- err
+			}()
+		}
+		for range cap(results) {
+			must.NoError(t, <-results)
+		}
+	})
+}
+
+func TestCancelReachesTheHandler(t *testing.T) {
+	mux := &Mux{}
+	ended := make(chan struct{})
+	mux.Handle(KindAsk, func(ctx context.Context, _ netip.AddrPort, _ []byte) (any, error) {
+		<-ctx.Done()
+		close(ended)
+		return nil, ctx.Err()
+	})
+	pair(t, mux, func(t *testing.T, c *Client, _ *pipes, _ *Counters) {
+		ended = make(chan struct{})
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		must.ErrorIs(t, c.Call(ctx, beta, KindAsk, "x", nil), ErrLost)
+		<-ended
+	})
+}
+
+func TestSilentPeerIsLeftWithinTheLimit(t *testing.T) {
+	// Accept the connection and read it, but answer nothing, not even pings.
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipes()
+		go func() {
+			s := <-p.accepted
+			_, _ = bufio.NewReader(s).WriteTo(&bytes.Buffer{})
+		}()
+		c := NewClient(alpha, p.dial, &Counters{})
+		begun := time.Now()
+		must.ErrorIs(t, c.Call(context.Background(), beta, KindAsk, "x", nil), ErrLost)
+		must.LessEq(t, silenceLimit, time.Since(begun))
+		c.Close()
+	})
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	pair(t, &Mux{}, func(t *testing.T, c *Client, p *pipes, _ *Counters) {
+		p.refuse = true
+		must.ErrorIs(t, c.Call(context.Background(), beta, KindAsk, "x", nil), ErrNotSent)
+	})
+}
+
+func TestUnknownKindIsThePeersFailure(t *testing.T) {
+	pair(t, &Mux{}, func(t *testing.T, c *Client, _ *pipes, _ *Counters) {
+		must.ErrorIs(t, c.Call(context.Background(), beta, KindAsk, "x", nil), ErrRemote)
+	})
+}
+
+func TestIdleConnectionIsClosedAndDialledAnew(t *testing.T) {
+	mux := &Mux{}
+	mux.Handle(KindAsk, echo)
+	pair(t, mux, func(t *testing.T, c *Client, p *pipes, _ *Counters) {
+		must.NoError(t, c.Call(context.Background(), beta, KindAsk, "x", nil))
+		time.Sleep(2 * idleTicks * pingInterval)
+		must.NoError(t, c.Call(context.Background(), beta, KindAsk, "x", nil))
+		must.Eq(t, 2, len(p.dialled))
+	})
+}
+
+func TestBadFrameClosesTheConnectionAndIsCounted(t *testing.T) {
+	bad := map[string][]byte{
+		"version":    {0, 0, 0, 0, 9, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"size":       {255, 0, 0, 0, version, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"type":       {0, 0, 0, 0, version, 99, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"hello":      {0, 0, 0, 1, version, byte(frameHello), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xc1},
+		"call first": {0, 0, 0, 0, version, byte(frameCall), 1, 0, 0, 0, 0, 0, 0, 0, 0},
+	}
+	for name, b := range bad {
+		t.Run(name, func(t *testing.T) {
+			pair(t, &Mux{}, func(t *testing.T, _ *Client, p *pipes, count *Counters) {
+				conn, err := p.dial(context.Background(), beta)
+				must.NoError(t, err)
+				defer conn.Close()
+				_, err = conn.Write(b)
+				must.NoError(t, err)
+				_, err = conn.Read(make([]byte, 1))
+				must.Error(t, err)
+				synctest.Wait()
+				must.Eq(t, int64(1), count.BadFrames.Load())
+			})
+		})
+	}
+}
+
+func TestFrameRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := frame{
+			kind: frameType(rapid.IntRange(int(frameHello), int(framePong)).Draw(t, "type")),
+			call: Kind(rapid.Uint8().Draw(t, "kind")),
+			id:   rapid.Uint64().Draw(t, "id"),
+			body: rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
+		}
+		got, err := readFrame(bufio.NewReader(bytes.NewReader(appendFrame(nil, f))))
+		must.NoError(t, err)
+		must.Eq(t, f.id, got.id)
+		must.Eq(t, f.kind, got.kind)
+		must.Eq(t, f.call, got.call)
+		must.True(t, bytes.Equal(f.body, got.body))
+	})
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add(appendFrame(nil, frame{kind: frameCall, call: KindPing, id: 1, body: []byte("x")}))
+	f.Add([]byte{0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := readFrame(bufio.NewReader(bytes.NewReader(b)))
+		if err == nil && binary.BigEndian.Uint32(b) != uint32(len(got.body)) {
+			t.Fatal("the body has another length than the header says")
+		}
+	})
+}
+
+func BenchmarkFrame(b *testing.B) {
+	f := frame{kind: frameCall, call: KindAsk, id: 1, body: make([]byte, 256)}
+	buffer := appendFrame(nil, f)
+	r := bytes.NewReader(buffer)
+	reader := bufio.NewReader(r)
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer = appendFrame(buffer[:0], f)
+		r.Reset(buffer)
+		reader.Reset(r)
+		if _, err := readFrame(reader); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func TestTLSBindsTheClaimedAddress(t *testing.T) {
+	now := time.Now()
+	a, err := mtls.NewAuthority(now, now.Add(time.Hour))
+	must.NoError(t, err)
+	dir := t.TempDir()
+	f := mtls.Files{CA: filepath.Join(dir, "ca"), Certificate: filepath.Join(dir, "c"), Key: filepath.Join(dir, "k")}
+	must.NoError(t, a.Issue(f, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, now, now.Add(time.Hour)))
+	i, err := mtls.Load(f)
+	must.NoError(t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	to := netip.MustParseAddrPort(l.Addr().String())
+	mux := &Mux{}
+	mux.Handle(KindAsk, echo)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- NewServer(mux, VerifyTLS, &Counters{}).Serve(ctx, ListenTLS(l, i)) }()
+	honest := NewClient(to, DialTLS(i), &Counters{})
+	must.NoError(t, honest.Call(ctx, to, KindAsk, "x", nil))
+	poser := NewClient(netip.MustParseAddrPort("127.0.0.9:1"), DialTLS(i), &Counters{})
+	must.Error(t, poser.Call(ctx, to, KindAsk, "x", nil))
+	honest.Close()
+	poser.Close()
+	cancel()
+	must.ErrorIs(t, <-done, context.Canceled)
+}
