--- a/internal/control/cell/admission.go
+++ b/internal/control/cell/admission.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"math"
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/clock"
@@ -13,8 +12,8 @@
 	// maxIdleTenants is how many workspaces are remembered while they have
 	// nothing waiting or running.
 	maxIdleTenants = 256
-	// rateWindow is the time over which rates are averaged.
-	rateWindow = 10 * time.Second
+	// meanLength is the number of times that a mean is taken over.
+	meanLength = 32
 	// noServerRetry is when to come back to a pool that has no server.
 	noServerRetry = 2 * time.Second
 	// longestRetry bounds the time to come back.
@@ -23,23 +22,18 @@
 	shortestRetry = 100 * time.Millisecond
 )
 
-// rate is a decayed rate of events. The zero value is none.
-type rate struct {
-	perSecond float64
-	at        time.Time
+// mean is a decayed mean of times. The zero value has none.
+type mean struct {
+	value time.Duration
+	known bool
 }
 
-func (r *rate) add(now time.Time) {
-	r.perSecond = r.value(now) + 1/rateWindow.Seconds()
-	r.at = now
-}
-
-func (r *rate) value(now time.Time) float64 {
-	if r.at.IsZero() {
-		return 0
+func (m *mean) add(d time.Duration) {
+	if !m.known {
+		m.value, m.known = d, true
+		return
 	}
-	passed := max(clock.Elapsed(r.at, now), 0)
-	return r.perSecond * math.Exp(-passed.Seconds()/rateWindow.Seconds())
+	m.value += (d - m.value) / meanLength
 }
 
 // admit queues a request or refuses it.
@@ -53,7 +47,7 @@
 		t.weight = 1
 	}
 	t.spotAllowed = a.Request.SpotAllowed
-	wait := c.expectedWait(now, t, a.Request.Class)
+	wait := c.expectedWait(t, a.Request.Class)
 	switch {
 	case clock.Passed(now, a.Request.Deadline):
 		c.refuse(now, a, refusal.ReasonDeadline, now)
@@ -69,30 +63,41 @@
 }
 
 // expectedWait estimates how long the next request of a workspace would wait:
-// what it has waiting over the rate at which it is served, which is at least
-// its fair part of the cell's rate.
-func (c *Cell) expectedWait(now time.Time, t *tenant, class fleet.Class) time.Duration {
+// what it has waiting over its fair part of the rate at which slots become
+// free. It is zero while that rate is not known.
+func (c *Cell) expectedWait(t *tenant, class fleet.Class) time.Duration {
+	class = classOf(class)
 	ahead := 0
-	for k := range classOf(class) + 1 {
+	for k := range class + 1 {
 		ahead += t.waitingIn(k)
 	}
 	if ahead == 0 {
 		return 0
 	}
-	all := c.rate.value(now)
 	weights := t.weight
-	for _, o := range c.queued[classOf(class)] {
+	for _, o := range c.queued[class] {
 		if o != t {
 			weights += o.weight
 		}
 	}
-	r := max(t.rate.value(now), all*t.weight/weights)
+	r := c.freeing() * t.weight / weights
 	if r <= 0 {
 		return 0
 	}
 	return time.Duration(float64(ahead) / r * float64(time.Second))
 }
 
+// freeing returns the rate at which slots become free, a second.
+func (c *Cell) freeing() float64 {
+	sum := 0.0
+	for class, n := range c.load.running {
+		if m := c.times[class]; m.known && m.value > 0 {
+			sum += float64(n) / m.value.Seconds()
+		}
+	}
+	return sum
+}
+
 func bounded(d time.Duration) time.Duration {
 	return min(max(d, shortestRetry), longestRetry)
 }
--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -48,10 +48,12 @@
 	tenants map[fleet.Workspace]*tenant
 	// settle is the set of daemons that have not registered yet.
 	settle settling
-	// rate is that of released grants.
-	rate rate
-	// scratch is reused between decisions.
+	// times are the mean times that a grant is held, a class.
+	times [classes]mean
+	// scratch, options and states are reused between decisions.
 	scratch []Candidate[fleet.Workspace]
+	options []Option
+	states  []*serverState
 	// queued are the tenants with something waiting, a class.
 	queued [classes][]*tenant
 }
@@ -68,6 +70,8 @@
 	id     string
 	ask    Ask
 	server *serverState
+	// heldAt is when the grant was given, or heard of.
+	heldAt time.Time
 	// notAfter is when the grant ends unless its daemon registers it.
 	notAfter time.Time
 	// onSpot is whether it counts against the server's failure domain's
@@ -142,8 +146,7 @@
 	g.server.ended(now, r.Outcome)
 	c.end(g)
 	if r.Outcome == gate.Completed {
-		c.rate.add(now)
-		c.tenant(g.ask.Request.Workspace).rate.add(now)
+		c.times[classOf(g.ask.Request.Class)].add(now.Sub(g.heldAt))
 	}
 	c.schedule(now)
 	return c.out
@@ -242,6 +245,7 @@
 		id:       c.Prefix + strconv.FormatUint(c.made, 10),
 		ask:      it.ask,
 		server:   s,
+		heldAt:   now,
 		notAfter: now.Add(GrantWindow),
 	}
 	it.grant = g
--- a/internal/control/cell/cell_test.go
+++ b/internal/control/cell/cell_test.go
@@ -141,7 +141,7 @@
 	a = request("late", "a", fleet.Live, 1)
 	a.Request.Deadline = at(2)
 	d = c.Ask(at(1), a)
-	must.Eq(t, refusal.ReasonOverload, d[0].Reason, must.Sprint("nine wait at one in ten seconds"))
+	must.Eq(t, refusal.ReasonOverload, d[0].Reason, must.Sprint("nine wait at one a second"))
 }
 
 func TestDeadlineOfWaiting(t *testing.T) {
--- a/internal/control/cell/placement.go
+++ b/internal/control/cell/placement.go
@@ -10,9 +10,6 @@
 // may be than the least loaded one and still be chosen for its prefix cache.
 const affinitySlack = 0.25
 
-// maxOptions bounds the servers that are weighed for one request.
-const maxOptions = 32
-
 // Option is a server that may run a request, as a Placement sees it.
 type Option struct {
 	Server fleet.ServerID
@@ -77,31 +74,28 @@
 // choose returns a server with a free slot for the request, nil when there is
 // none now.
 func (c *Cell) choose(now time.Time, a *Ask) *serverState {
-	var options [maxOptions]Option
-	var states [maxOptions]*serverState
-	n := 0
-	standard := c.standardAllowed(now, a)
+	c.options, c.states = c.options[:0], c.states[:0]
+	standard := c.standardAllowed(now, a.Request.Class)
 	for _, s := range c.servers.usable {
-		if n == maxOptions || s.free() <= 0 || s.suspended(now) || !s.suits(a) || !c.kindAllowed(s, a, standard) {
+		if s.free() <= 0 || s.suspended(now) || !s.suits(a) || !c.kindAllowed(s, a, standard) {
 			continue
 		}
-		states[n] = s
-		options[n] = Option{
+		c.states = append(c.states, s)
+		c.options = append(c.options, Option{
 			Server:   s.server.ID,
 			Kind:     s.server.Kind,
 			Load:     float64(s.running+s.foreign) / float64(s.server.Capacity),
 			Reported: float64(s.reported) / float64(s.server.Capacity),
 			Cached:   s.knows(a.Request.Prefix),
-		}
-		n++
+		})
 	}
-	if n == 0 {
+	if len(c.options) == 0 {
 		return nil
 	}
 	if c.Settings.Placement == nil {
-		return states[PrefixPlacement{}.Choose(a.Request.Class, options[:n])]
+		return c.states[PrefixPlacement{}.Choose(a.Request.Class, c.options)]
 	}
-	return states[c.Settings.Placement.Choose(a.Request.Class, options[:n])]
+	return c.states[c.Settings.Placement.Choose(a.Request.Class, c.options)]
 }
 
 // kindAllowed bounds live work on the spot servers of one failure domain by
@@ -117,11 +111,11 @@
 	return float64(c.servers.liveOnSpot[s.server.FailureDomain]) < bound
 }
 
-// standardAllowed reports whether the request may take a standard slot:
-// training leaves the reserve free while live requests come, unless it is
-// below its floor.
-func (c *Cell) standardAllowed(now time.Time, a *Ask) bool {
-	if a.Request.Class != fleet.Training || c.Settings.LiveReserve == 0 {
+// standardAllowed reports whether a class may take a standard slot: training
+// leaves the reserve free while live requests come, unless it is below its
+// floor.
+func (c *Cell) standardAllowed(now time.Time, class fleet.Class) bool {
+	if class != fleet.Training || c.Settings.LiveReserve == 0 {
 		return true
 	}
 	if c.load.liveAt.IsZero() || now.Sub(c.load.liveAt) > recentWindow {
--- a/internal/control/cell/queue.go
+++ b/internal/control/cell/queue.go
@@ -76,7 +76,6 @@
 	workspace fleet.Workspace
 	weight    float64
 	running   int
-	rate      rate
 	// queues are by class, and by whether a spot server may run the request.
 	queues [classes][2]queue
 	// index is the place in the cell's list of a class, -1 when not in it.
--- a/internal/control/cell/register.go
+++ b/internal/control/cell/register.go
@@ -65,6 +65,7 @@
 		id:       v.Grant,
 		ask:      Ask{ID: v.Ask, Entry: m, Request: v.Request},
 		server:   c.servers.get(v.Server),
+		heldAt:   now,
 		notAfter: now,
 	}
 	if c.asks == nil {
--- a/internal/control/cell/schedule.go
+++ b/internal/control/cell/schedule.go
@@ -56,6 +56,10 @@
 func (c *Cell) candidates(now time.Time, class fleet.Class) {
 	c.scratch = c.scratch[:0]
 	standard, spot := c.servers.open(now)
+	standard = standard && c.standardAllowed(now, class)
+	if !standard && !spot {
+		return
+	}
 	for _, t := range c.queued[class] {
 		if !standard && (!spot || t.queues[class][1].waiting == 0) {
 			continue
@@ -91,15 +95,16 @@
 		if it == nil || !it.queued {
 			continue
 		}
-		if clock.Passed(now, it.ask.Request.Deadline) {
-			c.refuse(now, it.ask, refusal.ReasonDeadline, now)
-			c.unqueue(it)
+		tried++
+		s := c.choose(now, &it.ask)
+		if s == nil {
 			continue
 		}
-		tried++
-		if s := c.choose(now, &it.ask); s != nil {
+		if !clock.Passed(now, it.ask.Request.Deadline) {
 			return it, s
 		}
+		c.refuse(now, it.ask, refusal.ReasonDeadline, now)
+		c.unqueue(it)
 	}
 	return nil, nil
 }
--- a/internal/control/cell/server.go
+++ b/internal/control/cell/server.go
@@ -242,7 +242,7 @@
 }
 
 func (s *serverState) suspended(now time.Time) bool {
-	return !clock.Passed(now, s.suspendedUntil)
+	return !s.suspendedUntil.IsZero() && !clock.Passed(now, s.suspendedUntil)
 }
 
 // spotSuits reports whether spot servers may run the request: training, which
--- /dev/null
+++ b/internal/model/experiment/experiment_test.go
@@ -0,0 +1,51 @@
+package experiment
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/seed"
+	"github.com/lacewingtally/lacewingtally/internal/model/trace"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func TestSameTraceSameResult(t *testing.T) {
+	tr := trace.New(trace.Asociace(), trace.Reclaimed, seed.Value(), 6*time.Minute)
+	for _, v := range Variants() {
+		must.Eq(t, Run(&tr, v), Run(&tr, v), must.Sprint(v.Name))
+	}
+}
+
+func TestAgendaKeepsTheOrder(t *testing.T) {
+	var a agenda
+	a.now = epoch
+	var got []int
+	for i := range 50 {
+		a.after(time.Duration(i%5)*time.Second, func() { got = append(got, i%5*100+i) })
+	}
+	a.until(epoch.Add(time.Minute))
+	must.Len(t, 50, got)
+	must.SliceContainsAll(t, got[:10], []int{0, 5, 10, 15, 20, 25, 30, 35, 40, 45})
+	for i := 1; i < len(got); i++ {
+		must.Less(t, got[i], got[i-1])
+	}
+	must.Eq(t, epoch.Add(time.Minute), a.now)
+}
+
+func TestNothingIsReclaimedWithoutSpot(t *testing.T) {
+	tr := trace.New(trace.Cosecha(), trace.Reclaimed, seed.Value(), 6*time.Minute)
+	for _, v := range Variants() {
+		if v.Spot {
+			continue
+		}
+		r := Run(&tr, v)
+		must.Eq(t, 0, r.Cut)
+		must.Eq(t, 0, r.SpotPart)
+	}
+}
--- /dev/null
+++ b/internal/model/machine/engine_test.go
@@ -0,0 +1,92 @@
+package machine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// end runs an engine until it is idle and returns when that was.
+func end(e *Engine) time.Time {
+	now := start
+	for {
+		at, ok := e.NextAt()
+		if !ok {
+			return now
+		}
+		now = at
+		e.Advance(now)
+	}
+}
+
+func TestBatchIsSlowerEachAndFasterTogether(t *testing.T) {
+	one := New(start, 16)
+	one.Add(start, &Job{Tokens: 400})
+	alone := end(one).Sub(start)
+	all := New(start, 16)
+	for range 16 {
+		all.Add(start, &Job{Tokens: 400})
+	}
+	together := end(all).Sub(start)
+	must.Greater(t, alone, together)
+	must.Less(t, 4*alone, together)
+}
+
+func TestPrefixCacheIsLimited(t *testing.T) {
+	e := New(start, 1)
+	now := start
+	work := func(prefix uint64) float64 {
+		j := &Job{Tokens: 1, Prefix: prefix, PrefixTokens: 600}
+		e.Add(now, j)
+		now = now.Add(time.Minute)
+		e.Advance(now)
+		return j.Prefill
+	}
+	must.Eq(t, 10, work(1))
+	must.Eq(t, 0, work(1))
+	for i := range cachedPrefixes {
+		work(uint64(2 + i))
+	}
+	must.Eq(t, 10, work(1))
+}
+
+func TestClassesGoFirstAndPausesHold(t *testing.T) {
+	e := New(start, 1)
+	e.Add(start, &Job{Tokens: 10})
+	late := &Job{Tokens: 10, Class: fleet.Training}
+	live := &Job{Tokens: 10, Class: fleet.Live}
+	e.Add(start, late)
+	e.Add(start, live)
+	e.Pause(start, time.Hour)
+	must.SliceEmpty(t, e.Advance(start.Add(time.Hour)))
+	must.Len(t, 1, e.Advance(start.Add(time.Hour+time.Second)))
+	must.False(t, live.StartedAt.IsZero())
+	must.True(t, late.StartedAt.IsZero())
+	must.Eq(t, 0, late.Generated())
+	must.True(t, e.Remove(start.Add(time.Hour+time.Second), late))
+	must.False(t, e.Remove(start.Add(time.Hour+time.Second), late))
+}
+
+func TestGeneratedCountsAfterThePrompt(t *testing.T) {
+	e := New(start, 4)
+	j := &Job{Tokens: 100, PromptTokens: 600}
+	e.Add(start, j)
+	e.Advance(start.Add(50 * time.Millisecond))
+	must.Eq(t, 0, j.Generated())
+	e.Advance(start.Add(time.Second))
+	must.Between(t, 60, j.Generated(), 70)
+	e.SetSpeed(start.Add(time.Second), 0)
+	before := j.Generated()
+	e.Advance(start.Add(time.Minute))
+	must.Eq(t, before, j.Generated())
+}
--- /dev/null
+++ b/internal/model/trace/deployment.go
@@ -0,0 +1,154 @@
+// Package trace makes the arrivals and faults that the model replays, from a
+// seed.
+package trace
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+const (
+	// slots is how many generations an engine runs at once.
+	slots = 16
+	// serviceSlots is how many calls a plain service runs at once.
+	serviceSlots = 8
+)
+
+// Deployment is what stays the same in all scenarios of one operator.
+type Deployment struct {
+	Name    string
+	Region  fleet.Region
+	Domains []fleet.FailureDomain
+	Daemons int
+	// Engines are the servers of the model pool, spot ones included.
+	Engines []fleet.Server
+	// Services are the servers of the plain service.
+	Services   []fleet.Server
+	Workspaces []Workspace
+	// LiveRate is that of live generations, a second.
+	LiveRate float64
+	// ServiceRate is that of calls of the plain service, a second.
+	ServiceRate float64
+	Trainers    []Trainer
+}
+
+// Trainer is one training job.
+type Trainer struct {
+	Workspace fleet.Workspace
+	// Groups is the number of groups of a step, each of Samples samples.
+	Groups  int
+	Samples int
+	// StepTime is how long the trainer works on one step.
+	StepTime time.Duration
+	// MeanTokens is the mean length of a sample.
+	MeanTokens float64
+}
+
+// Workspace is the live load of one workspace.
+type Workspace struct {
+	Name fleet.Workspace
+	// Part is its part of the live rate.
+	Part float64
+	// Prefixes is how many prompts it shares among its requests.
+	Prefixes int
+}
+
+// Asociace returns the kitchens' deployment: nine engines, three booking
+// servers, nine daemons, eight workspaces and two trainers.
+func Asociace() Deployment {
+	d := Deployment{
+		Name:        "Asociace",
+		Region:      "cz-stred",
+		Domains:     []fleet.FailureDomain{"praha-a", "praha-b", "kladno"},
+		Daemons:     9,
+		Workspaces:  workspaces("renter"),
+		LiveRate:    17,
+		ServiceRate: 6,
+		Trainers: []Trainer{
+			{Workspace: "renter-0", Groups: 16, Samples: 8, StepTime: 100 * time.Second, MeanTokens: 300},
+			{Workspace: "renter-1", Groups: 16, Samples: 8, StepTime: 100 * time.Second, MeanTokens: 300},
+		},
+	}
+	d.Engines = engines(&d, 6, 3)
+	d.Services = services(&d)
+	return d
+}
+
+// Cosecha returns the school programme's deployment: eleven engines, three
+// order desk servers, eleven daemons, eight workspaces and four trainers.
+func Cosecha() Deployment {
+	d := Deployment{
+		Name:        "Cosecha Escolar",
+		Region:      "lima-centro",
+		Domains:     []fleet.FailureDomain{"lima-a", "lima-b", "lima-c"},
+		Daemons:     11,
+		Workspaces:  workspaces("growers"),
+		LiveRate:    9,
+		ServiceRate: 6,
+	}
+	for i := range 4 {
+		d.Trainers = append(d.Trainers, Trainer{
+			Workspace:  d.Workspaces[i].Name,
+			Groups:     24,
+			Samples:    8,
+			StepTime:   90 * time.Second,
+			MeanTokens: 350,
+		})
+	}
+	d.Engines = engines(&d, 6, 5)
+	d.Services = services(&d)
+	return d
+}
+
+// engines returns standard and spot engines, spread over the failure domains.
+func engines(d *Deployment, standard, spot int) []fleet.Server {
+	var out []fleet.Server
+	for i := range standard + spot {
+		kind := fleet.Standard
+		if i >= standard {
+			kind = fleet.Spot
+		}
+		out = append(out, fleet.Server{
+			ID:            fleet.ServerID(fmt.Sprintf("engine-%02d", i)),
+			Region:        d.Region,
+			FailureDomain: d.Domains[i%len(d.Domains)],
+			Pool:          "models",
+			Kind:          kind,
+			State:         fleet.StateLive,
+			Capacity:      slots,
+		})
+	}
+	return out
+}
+
+func services(d *Deployment) []fleet.Server {
+	var out []fleet.Server
+	for i, f := range d.Domains {
+		out = append(out, fleet.Server{
+			ID:            fleet.ServerID(fmt.Sprintf("service-%02d", i)),
+			Region:        d.Region,
+			FailureDomain: f,
+			Pool:          "desk",
+			Kind:          fleet.Standard,
+			State:         fleet.StateLive,
+			Capacity:      serviceSlots,
+		})
+	}
+	return out
+}
+
+// workspaces returns eight, a few of them large.
+func workspaces(prefix string) []Workspace {
+	parts := []float64{0.30, 0.20, 0.15, 0.10, 0.09, 0.07, 0.05, 0.04}
+	var out []Workspace
+	for i, p := range parts {
+		out = append(out, Workspace{
+			Name:     fleet.Workspace(fmt.Sprintf("%s-%d", prefix, i)),
+			Part:     p,
+			Prefixes: 4,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/model/trace/trace_test.go
@@ -0,0 +1,57 @@
+package trace
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func TestSameSeedSameTrace(t *testing.T) {
+	for _, s := range []Scenario{Calm, Overloaded, Reclaimed, Stragglers, StoreLost} {
+		a, b, c := New(Cosecha(), s, 1, Whole), New(Cosecha(), s, 1, Whole), New(Cosecha(), s, 2, Whole)
+		must.True(t, slices.Equal(a.Arrivals, b.Arrivals))
+		must.True(t, slices.Equal(a.Faults, b.Faults))
+		must.False(t, slices.Equal(a.Arrivals, c.Arrivals))
+	}
+}
+
+func TestSizesOfToday(t *testing.T) {
+	a, c := Asociace(), Cosecha()
+	must.Len(t, 9, a.Engines)
+	must.Len(t, 11, c.Engines)
+	for _, d := range []Deployment{a, c} {
+		must.Len(t, 3, d.Services)
+		must.Len(t, 3, d.Domains)
+		must.Len(t, 8, d.Workspaces)
+	}
+	must.Eq(t, 9, a.Daemons)
+	must.Eq(t, 11, c.Daemons)
+	must.Len(t, 4, c.Trainers)
+}
+
+func TestScenarios(t *testing.T) {
+	d := Asociace()
+	calm, over := New(d, Calm, 1, Whole), New(d, Overloaded, 1, Whole)
+	must.Eq(t, "", string(calm.Overloading))
+	count := func(tr *Trace, w fleet.Workspace) int {
+		n := 0
+		for _, a := range tr.Arrivals {
+			if a.Workspace == w && a.Class == fleet.Live {
+				n++
+			}
+		}
+		return n
+	}
+	must.Greater(t, 5*count(&calm, over.Overloading), count(&over, over.Overloading))
+	must.Len(t, 6, New(d, Reclaimed, 1, Whole).Faults)
+	must.Len(t, 2, New(d, StoreLost, 1, Whole).Faults)
+	must.Greater(t, calm.LongPart, New(d, Stragglers, 1, Whole).LongPart)
+}
