--- /dev/null
+++ b/internal/caller/rollout/driver.go
@@ -0,0 +1,273 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/loop"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/base/set"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/batch"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+)
+
+const (
+	// decideEvery is how often the dispatcher is asked.
+	decideEvery = 200 * time.Millisecond
+	// refreshEvery is how often the table is read and the claim renewed.
+	refreshEvery = time.Second
+	// tryLimit bounds one try of a sample.
+	tryLimit = 14 * time.Minute
+)
+
+// errStopped ends a try whose chunks are not wanted any more.
+var errStopped = errors.New("rollout: try stopped")
+
+// driver generates the groups of one trainer.
+type driver struct {
+	parts   Parts
+	trainer batch.Trainer
+	owner   batch.Owner
+	// loop owns dispatcher and cancels.
+	loop       *loop.Loop
+	dispatcher batch.Dispatcher
+	cancels    map[batch.Stop]context.CancelFunc
+	wait       sync.WaitGroup
+}
+
+func newDriver(p Parts, t batch.Trainer) *driver {
+	return &driver{
+		parts: p, trainer: t, loop: loop.New(),
+		dispatcher: batch.Dispatcher{Policy: p.Policy},
+		cancels:    make(map[batch.Stop]context.CancelFunc),
+	}
+}
+
+// serve runs until the context ends or another daemon owns the trainer.
+func (d *driver) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer d.wait.Wait()
+	defer cancel()
+	d.wait.Go(func() { _ = d.loop.Serve(ctx) })
+	decide := time.NewTicker(decideEvery)
+	defer decide.Stop()
+	var refreshed time.Time
+	for {
+		if time.Since(refreshed) >= refreshEvery {
+			refreshed = time.Now()
+			if !d.refresh(ctx) {
+				return
+			}
+		}
+		d.act(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-decide.C:
+		}
+	}
+}
+
+// act carries out what the dispatcher decides.
+func (d *driver) act(ctx context.Context) {
+	var a batch.Actions
+	_ = d.loop.Do(ctx, func(now time.Time) {
+		d.dispatcher.Grant(d.granted(now))
+		a = d.dispatcher.Decide(now)
+		for _, s := range a.Stops {
+			if cancel, ok := d.cancels[s]; ok {
+				cancel()
+			}
+		}
+		for _, s := range a.Starts {
+			d.start(ctx, now, s)
+		}
+	})
+	for _, f := range a.Finishes {
+		d.wait.Go(func() { d.finish(ctx, f) })
+	}
+	for _, s := range a.Discards {
+		d.parts.Events.Record(timeline.Event{
+			Kind: timeline.SampleDiscarded, Workspace: d.trainer.Workspace,
+			Detail: fmt.Sprintf("%s: %s after %d tokens", s.Sample, s.Reason, s.Tokens),
+		})
+	}
+}
+
+// add makes a group known to the dispatcher.
+func (d *driver) add(ctx context.Context, p batch.Pending) error {
+	g, ok, err := d.parts.Ledger.Group(ctx, d.trainer, p.Group)
+	if err != nil || !ok {
+		return err
+	}
+	return d.loop.Do(ctx, func(time.Time) { d.dispatcher.Add(p, g) })
+}
+
+// finish hands a group to the ledger, again and again while the store is down.
+func (d *driver) finish(ctx context.Context, f batch.Finish) {
+	t := time.NewTicker(refreshEvery)
+	defer t.Stop()
+	for {
+		err := d.parts.Ledger.Finish(ctx, d.trainer, f.Pending, f.Samples)
+		if err == nil || errors.Is(err, batch.ErrTaken) {
+			_ = d.loop.Do(ctx, func(time.Time) { d.dispatcher.Remove(f.Pending.Group) })
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// generate runs one try. The loop has registered its cancel function.
+func (d *driver) generate(ctx context.Context, s batch.Start, g gate.Generation) {
+	stop := batch.Stop{Sample: s.Sample, Try: s.Try}
+	err := d.parts.Generator.Generate(ctx, g, func(c engine.Chunk) error {
+		more := false
+		if err := d.loop.Do(ctx, func(time.Time) { more = d.dispatcher.Chunk(s.Sample, s.Try, c) }); err != nil {
+			return err
+		}
+		if !more {
+			return errStopped
+		}
+		return nil
+	})
+	var r *refusal.Error
+	var retryAt time.Time
+	if errors.As(err, &r) {
+		retryAt = r.RetryAt
+	}
+	if r != nil && errors.Is(r, refusal.ErrGaveUp) && r.Reason == refusal.ReasonQuarantine {
+		d.abandon(ctx, s.Group.ID)
+	}
+	// The context of the loop ends with the driver's.
+	_ = d.loop.Do(context.WithoutCancel(ctx), func(now time.Time) {
+		d.cancels[stop]()
+		delete(d.cancels, stop)
+		d.dispatcher.End(now, s.Sample, s.Try, err == nil, retryAt)
+	})
+}
+
+// abandon gives up a group whose prompt crashes the servers that run it. The
+// trainer's spare groups take its place.
+func (d *driver) abandon(ctx context.Context, id batch.GroupID) {
+	var found batch.Pending
+	_ = d.loop.Do(ctx, func(time.Time) {
+		for _, p := range d.dispatcher.Groups() {
+			if p.Group == id {
+				found = p
+			}
+		}
+	})
+	if found.Group == "" {
+		return
+	}
+	if err := d.parts.Ledger.Abandon(ctx, d.trainer, found); err != nil {
+		return
+	}
+	_ = d.loop.Do(ctx, func(time.Time) { d.dispatcher.Remove(id) })
+	d.parts.Events.Record(timeline.Event{
+		Kind: timeline.SampleDiscarded, Workspace: d.trainer.Workspace, Detail: string(id) + ": quarantined",
+	})
+}
+
+// granted returns the hashes of the workspace's granted keys; none while the
+// view is not confirmed.
+func (d *driver) granted(now time.Time) set.Set[string] {
+	var keys set.Set[string]
+	s := d.parts.View.State()
+	if !s.Confirmed(now) {
+		return keys
+	}
+	for _, k := range s.Config.Config.Keys {
+		if k.Workspace == d.trainer.Workspace && k.WithdrawnAt.IsZero() {
+			keys.Add(k.Hash)
+		}
+	}
+	return keys
+}
+
+// refresh renews the claim and reads what changed. It reports whether the
+// trainer is still this daemon's; while the table is down it is.
+func (d *driver) refresh(ctx context.Context) bool {
+	held, err := d.parts.Ledger.Own(ctx, d.trainer, &d.owner, 0)
+	if err == nil && !held {
+		return false
+	}
+	h, _, err := d.parts.Ledger.Head(ctx, d.trainer)
+	if err != nil {
+		return true
+	}
+	newest := fleet.WeightVersion(0)
+	if w, err := d.parts.Weights.Newest(ctx, h.Pool); err == nil {
+		newest = w.Version
+	}
+	lag := d.parts.View.State().Config.Value(config.MaxVersionLag, d.trainer.Workspace)
+	_ = d.loop.Do(ctx, func(time.Time) {
+		d.dispatcher.Set(batch.Bound{Version: h.Version, Lag: uint64(max(0, lag))}, newest)
+	})
+	if pending, err := d.parts.Ledger.Pending(ctx, d.trainer); err == nil {
+		d.take(ctx, pending)
+	}
+	return true
+}
+
+// take makes the dispatcher know exactly the pending groups.
+func (d *driver) take(ctx context.Context, pending []batch.Pending) {
+	type round struct {
+		group batch.GroupID
+		round int
+	}
+	wanted := make(map[round]batch.Pending, len(pending))
+	for _, p := range pending {
+		wanted[round{group: p.Group, round: p.Round}] = p
+	}
+	_ = d.loop.Do(ctx, func(time.Time) {
+		for _, known := range d.dispatcher.Groups() {
+			k := round{group: known.Group, round: known.Round}
+			p, ok := wanted[k]
+			if !ok {
+				d.dispatcher.Remove(known.Group)
+				continue
+			}
+			d.dispatcher.Add(p, batch.Group{ID: p.Group})
+			delete(wanted, k)
+		}
+	})
+	for _, p := range wanted {
+		if err := d.add(ctx, p); err != nil {
+			return
+		}
+	}
+}
+
+// start is called on the loop.
+func (d *driver) start(ctx context.Context, now time.Time, s batch.Start) {
+	ctx, cancel := context.WithCancel(ctx)
+	d.cancels[batch.Stop{Sample: s.Sample, Try: s.Try}] = cancel
+	g := gate.Generation{
+		ID:          fleet.RequestID(fmt.Sprintf("%s/%s/%s/%d", d.trainer.Workspace, d.trainer.Name, s.Sample, s.Try)),
+		Workspace:   d.trainer.Workspace,
+		Pool:        s.Group.Pool,
+		Class:       fleet.Training,
+		Prompt:      s.Group.Prompt,
+		Partial:     s.Partial,
+		Offset:      s.Offset,
+		MaxTokens:   s.Group.MaxTokens,
+		Seed:        xxhash.Sum64String(string(s.Sample)),
+		Deadline:    now.Add(tryLimit),
+		SpotAllowed: true,
+	}
+	d.wait.Go(func() { d.generate(ctx, s, g) })
+}
--- /dev/null
+++ b/internal/caller/rollout/rollout_test.go
@@ -0,0 +1,211 @@
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/caller/rollout"
+	"github.com/lacewingtally/lacewingtally/internal/control/batch"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/object"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+	"github.com/lacewingtally/lacewingtally/internal/platform/weights"
+)
+
+type events struct{}
+
+func (events) Record(timeline.Event) {}
+
+// generator makes one token every tenth of a second.
+type generator struct {
+	mutex   sync.Mutex
+	version fleet.WeightVersion
+	// started counts the generations.
+	started int
+}
+
+func (g *generator) Generate(ctx context.Context, r gate.Generation, emit func(engine.Chunk) error) error {
+	g.mutex.Lock()
+	g.started++
+	g.mutex.Unlock()
+	for i := r.Offset; i < r.MaxTokens; i++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(100 * time.Millisecond):
+		}
+		g.mutex.Lock()
+		v := g.version
+		g.mutex.Unlock()
+		if err := emit(engine.Chunk{Offset: i, Text: "x", Tokens: 1, Version: v, End: i+1 == r.MaxTokens}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// source is a view that is always confirmed, with one key for each workspace.
+type source struct {
+	mutex sync.Mutex
+	state *view.State
+}
+
+func (s *source) State() *view.State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state
+}
+
+func (s *source) set(members []fleet.Member, keys ...config.Key) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.state = &view.State{
+		Config: config.NewSnapshot(config.Config{
+			Keys: keys, Pools: []config.Pool{{Name: "p", Protocol: config.ProtocolEngine}},
+		}),
+		ConfirmedUntil: time.Now().Add(24 * time.Hour),
+		Members:        members,
+	}
+}
+
+type daemon struct {
+	*rollout.Service
+	stop func()
+}
+
+// world is several daemons over one platform.
+type world struct {
+	table     table.Memory
+	objects   object.Memory
+	weights   weights.Memory
+	view      source
+	generator generator
+	members   []fleet.Member
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{}
+	must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 1}))
+	w.generator.version = 1
+	return w
+}
+
+func (w *world) daemon(t *testing.T, n int) daemon {
+	m := fleet.Member{ID: fleet.MemberID{
+		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)), Incarnation: fleet.Incarnation(fmt.Sprint(n)),
+	}}
+	w.members = append(w.members, m)
+	w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
+	p := rollout.Parts{
+		Events: events{}, Generator: &w.generator, Self: m.ID, View: &w.view, Weights: &w.weights,
+		Ledger: batch.NewLedger(&w.table, &w.objects, m.ID.Incarnation),
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	r := rollout.NewRunner(p)
+	go func() {
+		defer close(done)
+		_ = r.Serve(ctx)
+	}()
+	return daemon{Service: rollout.NewService(p), stop: func() {
+		cancel()
+		<-done
+	}}
+}
+
+func request[T any](m *T, key string) *connect.Request[T] {
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+key)
+	return r
+}
+
+func submit(t *testing.T, d daemon, key string, n int) error {
+	m := &callerv1.SubmitGroupsRequest{Trainer: "t", Pool: "p", WeightVersion: 1}
+	for i := range n {
+		m.Groups = append(m.Groups, &callerv1.Group{GroupId: fmt.Sprint(i), Prompt: "q", Samples: 3, MaxTokens: 20})
+	}
+	_, err := d.SubmitGroups(t.Context(), request(m, key))
+	return err
+}
+
+func fetch(t *testing.T, d daemon, cursor uint64) (*callerv1.FetchBatchResponse, error) {
+	r, err := d.FetchBatch(t.Context(), request(&callerv1.FetchBatchRequest{
+		Trainer: "t", Cursor: cursor, Groups: 2, WeightVersion: 1,
+	}, "k"))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+func TestTrainerGetsAStepThroughAnyDaemon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.daemon(t, 1), w.daemon(t, 2)
+		defer a.stop()
+		defer b.stop()
+		must.NoError(t, submit(t, a, "k", 4))
+		first, err := fetch(t, b, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, first.GetSamples())
+		for _, s := range first.GetSamples() {
+			must.Eq(t, 20, len(s.GetText()))
+			must.Len(t, 1, s.GetSegments())
+			must.Eq(t, uint64(1), s.GetSegments()[0].GetWeightVersion())
+		}
+		second, err := fetch(t, a, 2)
+		must.NoError(t, err)
+		must.Len(t, 6, second.GetSamples())
+		must.Eq(t, 12, w.generator.started)
+	})
+}
+
+func TestAnotherDaemonTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.daemon(t, 1), w.daemon(t, 2)
+		defer b.stop()
+		must.NoError(t, submit(t, b, "k", 4))
+		time.Sleep(2 * time.Second)
+		a.stop()
+		got, err := fetch(t, b, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+	})
+}
+
+func TestKeyDecidesAndItsWithdrawalStopsTheGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(submit(t, a, "other", 1)))
+		must.NoError(t, submit(t, a, "k", 4))
+		time.Sleep(2 * time.Second)
+		w.view.set(w.members)
+		time.Sleep(time.Second)
+		started := w.generator.started
+		_, err := fetch(t, a, 1)
+		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(err))
+		time.Sleep(time.Minute)
+		must.Eq(t, started, w.generator.started)
+		w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+	})
+}
--- /dev/null
+++ b/internal/caller/rollout/service.go
@@ -0,0 +1,195 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/batch"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+)
+
+// bearer comes before the key in the Authorization header.
+const bearer = "Bearer "
+
+// Service is the connect handler of trainers. Use NewService.
+type Service struct {
+	parts Parts
+}
+
+var _ callerv1.RolloutServiceHandler = (*Service)(nil)
+
+// NewService returns the handler of one daemon.
+func NewService(p Parts) *Service {
+	return &Service{parts: p}
+}
+
+// Acknowledge implements callerv1.RolloutServiceHandler.
+func (s *Service) Acknowledge(
+	ctx context.Context, r *connect.Request[callerv1.AcknowledgeRequest],
+) (*connect.Response[callerv1.AcknowledgeResponse], error) {
+	t, err := s.trainer(r.Header().Get("Authorization"), r.Msg.GetTrainer())
+	if err != nil {
+		return nil, err
+	}
+	if err := s.parts.Ledger.Acknowledge(ctx, t, r.Msg.GetCursor()); err != nil {
+		return nil, failure(err)
+	}
+	return connect.NewResponse(&callerv1.AcknowledgeResponse{}), nil
+}
+
+// FetchBatch implements callerv1.RolloutServiceHandler.
+func (s *Service) FetchBatch(
+	ctx context.Context, r *connect.Request[callerv1.FetchBatchRequest],
+) (*connect.Response[callerv1.FetchBatchResponse], error) {
+	if r.Msg.GetCursor() == 0 || r.Msg.GetGroups() == 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("cursor and groups begin at 1"))
+	}
+	deadline := time.Now().Add(fetchWait)
+	if d := r.Msg.GetDeadline(); d != nil {
+		deadline = d.AsTime()
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	poll := time.NewTicker(pollEvery)
+	defer poll.Stop()
+	for {
+		// The key is looked at anew each time, for it may be withdrawn.
+		t, err := s.trainer(r.Header().Get("Authorization"), r.Msg.GetTrainer())
+		if err != nil {
+			return nil, err
+		}
+		b, err := s.fetch(ctx, t, r.Msg)
+		if err == nil {
+			return connect.NewResponse(toBatch(b)), nil
+		}
+		if !errors.Is(err, batch.ErrNotFormed) {
+			return nil, failure(err)
+		}
+		select {
+		case <-ctx.Done():
+			return nil, refuse(refusal.NotRun(refusal.ReasonDeadline, time.Now().Add(storeRest), nil))
+		case <-poll.C:
+		}
+	}
+}
+
+// SubmitGroups implements callerv1.RolloutServiceHandler.
+func (s *Service) SubmitGroups(
+	ctx context.Context, r *connect.Request[callerv1.SubmitGroupsRequest],
+) (*connect.Response[callerv1.SubmitGroupsResponse], error) {
+	t, err := s.trainer(r.Header().Get("Authorization"), r.Msg.GetTrainer())
+	if err != nil {
+		return nil, err
+	}
+	pool := fleet.Pool(r.Msg.GetPool())
+	if p, ok := s.parts.View.State().Config.Pool(pool); !ok || p.Protocol != config.ProtocolEngine {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Errorf("pool %q has no engines", pool))
+	}
+	var groups []batch.Group
+	for _, g := range r.Msg.GetGroups() {
+		groups = append(groups, batch.Group{
+			ID: batch.GroupID(g.GetGroupId()), Pool: pool, Prompt: g.GetPrompt(),
+			Samples: int(g.GetSamples()), MaxTokens: int(g.GetMaxTokens()),
+		})
+	}
+	version := fleet.WeightVersion(r.Msg.GetWeightVersion())
+	if _, err := s.parts.Ledger.Advance(ctx, t, pool, version); err != nil {
+		return nil, failure(err)
+	}
+	if err := s.parts.Ledger.Submit(ctx, t, keyHash(r.Header().Get("Authorization")), groups); err != nil {
+		return nil, failure(err)
+	}
+	return connect.NewResponse(&callerv1.SubmitGroupsResponse{Accepted: uint32(len(groups))}), nil
+}
+
+// fetch returns the batch if it is formed or can be formed now.
+func (s *Service) fetch(ctx context.Context, t batch.Trainer, m *callerv1.FetchBatchRequest) (batch.Batch, error) {
+	version := fleet.WeightVersion(m.GetWeightVersion())
+	if _, err := s.parts.Ledger.Advance(ctx, t, "", version); err != nil {
+		return batch.Batch{}, err
+	}
+	lag := s.lag(t)
+	b, err := s.parts.Ledger.Fetch(ctx, t, m.GetCursor(), lag)
+	if errors.Is(err, batch.ErrNotFormed) {
+		if err := s.form(ctx, t, m, lag); err != nil {
+			return batch.Batch{}, err
+		}
+		b, err = s.parts.Ledger.Fetch(ctx, t, m.GetCursor(), lag)
+	}
+	if err != nil {
+		return batch.Batch{}, err
+	}
+	s.parts.Events.Record(timeline.Event{
+		Kind: timeline.BatchServed, Workspace: t.Workspace, Version: version,
+		Detail: fmt.Sprintf("%s/%d: %d samples, %d past the bound", t.Name, b.Cursor, len(b.Samples), b.Discarded),
+	})
+	return b, nil
+}
+
+func (s *Service) form(ctx context.Context, t batch.Trainer, m *callerv1.FetchBatchRequest, lag uint64) error {
+	stale, err := s.parts.Ledger.Form(ctx, t, m.GetCursor(), int(m.GetGroups()), lag)
+	if stale > 0 {
+		s.parts.Events.Record(timeline.Event{
+			Kind: timeline.SampleDiscarded, Workspace: t.Workspace,
+			Detail: fmt.Sprintf("%s: %d groups past the bound", t.Name, stale),
+		})
+	}
+	if err != nil {
+		return err
+	}
+	s.parts.Events.Record(timeline.Event{
+		Kind: timeline.BatchFormed, Workspace: t.Workspace, Detail: fmt.Sprintf("%s/%d", t.Name, m.GetCursor()),
+	})
+	return nil
+}
+
+func (s *Service) lag(t batch.Trainer) uint64 {
+	return uint64(max(0, s.parts.View.State().Config.Value(config.MaxVersionLag, t.Workspace)))
+}
+
+// trainer returns the trainer of a name within the workspace of the key.
+func (s *Service) trainer(authorization, name string) (batch.Trainer, error) {
+	state := s.parts.View.State()
+	now := time.Now()
+	if !state.Confirmed(now) {
+		return batch.Trainer{}, refuse(refusal.NotRun(refusal.ReasonUnconfirmed, now.Add(storeRest), nil))
+	}
+	key, ok := strings.CutPrefix(authorization, bearer)
+	if !ok {
+		return batch.Trainer{}, refuse(refusal.NotRun(refusal.ReasonKey, time.Time{}, nil))
+	}
+	w, ok := state.Config.Workspace(key)
+	if !ok {
+		return batch.Trainer{}, refuse(refusal.NotRun(refusal.ReasonKey, time.Time{}, nil))
+	}
+	if name == "" {
+		return batch.Trainer{}, connect.NewError(connect.CodeInvalidArgument, errors.New("trainer has no name"))
+	}
+	return batch.Trainer{Workspace: w, Name: name}, nil
+}
+
+// keyHash returns the hash of the key, which is all that is kept of it.
+func keyHash(authorization string) string {
+	return config.HashKey(strings.TrimPrefix(authorization, bearer))
+}
+
+func toBatch(b batch.Batch) *callerv1.FetchBatchResponse {
+	r := &callerv1.FetchBatchResponse{Cursor: b.Cursor, Discarded: uint32(b.Discarded)}
+	for _, s := range b.Samples {
+		p := &callerv1.Sample{SampleId: string(s.ID), GroupId: string(s.Group), Text: s.Text}
+		for _, g := range s.Segments {
+			p.Segments = append(p.Segments, &callerv1.Segment{WeightVersion: uint64(g.Version), Tokens: uint32(g.Tokens)})
+		}
+		r.Samples = append(r.Samples, p)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/control/batch/ledger.go
@@ -0,0 +1,284 @@
+package batch
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/object"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// getsAtOnce bounds the objects that one fetch reads at once.
+	getsAtOnce = 16
+	// groupsATxn bounds the groups that one transaction submits.
+	groupsATxn = 64
+	// keptBatches is how many acknowledged batches leave the rows of their
+	// groups behind, so that a late repetition of a submission finds them.
+	keptBatches = 8
+	// scanLimit is how many rows are read at a time.
+	scanLimit = 1000
+	// tries bounds the repetitions of a transaction that met a conflict.
+	tries = 8
+)
+
+// Ledger keeps groups and batches in the table and their samples in the object
+// store. Use NewLedger. Its methods may be called from any goroutine, and by
+// any number of daemons at once.
+type Ledger struct {
+	objects object.Store
+	table   table.Table
+	// run is unique to this process and goes into transaction IDs and object
+	// keys.
+	run fleet.Incarnation
+	// writes makes transaction IDs unique.
+	writes atomic.Uint64
+}
+
+// NewLedger returns the ledger as one incarnation of a daemon uses it.
+func NewLedger(t table.Table, o object.Store, i fleet.Incarnation) *Ledger {
+	return &Ledger{objects: o, table: t, run: i}
+}
+
+// Abandon gives a pending group up. Its error is ErrTaken when the group is
+// not pending in that round any more.
+func (l *Ledger) Abandon(ctx context.Context, t Trainer, p Pending) error {
+	rows, err := l.table.Read(ctx, t.pending(p.Group))
+	if err != nil {
+		return err
+	}
+	known, err := decode[Pending](rows[0])
+	if err != nil {
+		return err
+	}
+	if rows[0].Version == 0 || known.Round != p.Round {
+		return ErrTaken
+	}
+	done, err := put(t.group(p.Group), stored{})
+	if err != nil {
+		return err
+	}
+	return l.commit(ctx,
+		[]table.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
+		[]table.Write{{Key: rows[0].Key, Delete: true}, done})
+}
+
+// Acknowledge takes over that the trainer has the batches up to and with a
+// cursor. It removes what is not needed any more.
+func (l *Ledger) Acknowledge(ctx context.Context, t Trainer, cursor uint64) error {
+	for range tries {
+		h, version, err := l.Head(ctx, t)
+		if err != nil {
+			return err
+		}
+		if cursor > h.Cursor {
+			return ErrCursor
+		}
+		if cursor <= h.Acknowledged {
+			return nil
+		}
+		from := h.Acknowledged
+		h.Acknowledged = cursor
+		if err = l.putHead(ctx, h, version); err == nil {
+			return l.clean(ctx, t, from, cursor)
+		}
+		if !errors.Is(err, table.ErrConflict) {
+			return err
+		}
+	}
+	return table.ErrConflict
+}
+
+// Advance takes over the version that the trainer says it is at and returns
+// its head. A lower version than known changes nothing.
+func (l *Ledger) Advance(ctx context.Context, t Trainer, p fleet.Pool, v fleet.WeightVersion) (Head, error) {
+	for range tries {
+		h, version, err := l.Head(ctx, t)
+		if err != nil {
+			return Head{}, err
+		}
+		if version > 0 && v <= h.Version && (p == "" || p == h.Pool) {
+			return h, nil
+		}
+		h.Version = max(h.Version, v)
+		if p != "" {
+			h.Pool = p
+		}
+		if err = l.putHead(ctx, h, version); err == nil {
+			return h, nil
+		}
+		if !errors.Is(err, table.ErrConflict) {
+			return Head{}, err
+		}
+	}
+	return Head{}, table.ErrConflict
+}
+
+// Fetch returns the batch at a cursor, less the samples past the bound of lag
+// versions behind the trainer. Its errors are ErrNotFormed, ErrCursor,
+// ErrAcknowledged and those of the services.
+func (l *Ledger) Fetch(ctx context.Context, t Trainer, cursor, lag uint64) (Batch, error) {
+	rows, err := l.table.Read(ctx, t.head(), t.batch(cursor))
+	if err != nil {
+		return Batch{}, err
+	}
+	h, err := decode[Head](rows[0])
+	if err != nil {
+		return Batch{}, err
+	}
+	f, err := decode[formed](rows[1])
+	if err != nil {
+		return Batch{}, err
+	}
+	switch {
+	case rows[1].Version > 0:
+		return l.load(ctx, f, Bound{Version: h.Version, Lag: lag})
+	case cursor == h.Cursor+1:
+		return Batch{}, ErrNotFormed
+	case cursor <= h.Acknowledged:
+		return Batch{}, ErrAcknowledged
+	}
+	return Batch{}, ErrCursor
+}
+
+// Head returns a trainer's head and the version of its row, 0 for none.
+func (l *Ledger) Head(ctx context.Context, t Trainer) (Head, uint64, error) {
+	rows, err := l.table.Read(ctx, t.head())
+	if err != nil {
+		return Head{}, 0, err
+	}
+	h, err := decode[Head](rows[0])
+	h.Trainer = t
+	return h, rows[0].Version, err
+}
+
+// Heads returns the heads of all trainers.
+func (l *Ledger) Heads(ctx context.Context) ([]Head, error) {
+	rows, err := l.scan(ctx, heads)
+	if err != nil {
+		return nil, err
+	}
+	return decodeAll[Head](rows)
+}
+
+// clean removes acknowledged batches and their objects. It is repeated by
+// nobody: what an interruption leaves is harmless.
+func (l *Ledger) clean(ctx context.Context, t Trainer, from, to uint64) error {
+	for c := from + 1; c <= to; c++ {
+		if c <= keptBatches {
+			continue
+		}
+		if err := l.cleanBatch(ctx, t, c-keptBatches); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) cleanBatch(ctx context.Context, t Trainer, cursor uint64) error {
+	rows, err := l.table.Read(ctx, t.batch(cursor))
+	if err != nil || rows[0].Version == 0 {
+		return err
+	}
+	f, err := decode[formed](rows[0])
+	if err != nil {
+		return err
+	}
+	writes := []table.Write{{Key: rows[0].Key, Delete: true}}
+	for _, r := range f.Groups {
+		if err := l.objects.Delete(ctx, object.Key(r.Object)); err != nil {
+			return err
+		}
+		writes = append(writes, table.Write{Key: t.group(r.Group), Delete: true})
+	}
+	return l.commit(ctx, []table.Condition{{Key: rows[0].Key, Version: rows[0].Version}}, writes)
+}
+
+// commit writes a transaction and settles an unknown outcome by reading one of
+// its rows back. A transaction that is still unknown returns
+// table.ErrUnknown.
+func (l *Ledger) commit(ctx context.Context, conditions []table.Condition, writes []table.Write) error {
+	id := fmt.Sprintf("Rollout/%s/%d", l.run, l.writes.Add(1))
+	err := l.table.Commit(ctx, table.Txn{ID: id, Conditions: conditions, Writes: writes})
+	if !errors.Is(err, table.ErrUnknown) {
+		return err
+	}
+	for _, w := range writes {
+		if w.Delete {
+			continue
+		}
+		rows, e := l.table.Read(ctx, w.Key)
+		if e == nil && rows[0].WriteID == id {
+			return nil
+		}
+		break
+	}
+	return err
+}
+
+func (l *Ledger) load(ctx context.Context, f formed, b Bound) (Batch, error) {
+	groups := make([][]Sample, len(f.Groups))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(getsAtOnce)
+	for i, r := range f.Groups {
+		g.Go(func() error {
+			body, err := l.objects.Get(ctx, object.Key(r.Object))
+			if err != nil {
+				return err
+			}
+			return errors.Wrap(json.Unmarshal(body, &groups[i]), "batch: samples")
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return Batch{}, err
+	}
+	a := Batch{Cursor: f.Cursor}
+	for _, samples := range groups {
+		fresh, discarded := b.Split(samples)
+		a.Samples = append(a.Samples, fresh...)
+		a.Discarded += discarded
+	}
+	return a, nil
+}
+
+func (l *Ledger) putHead(ctx context.Context, h Head, version uint64) error {
+	w, err := put(h.Trainer.head(), h)
+	if err != nil {
+		return err
+	}
+	return l.commit(ctx, []table.Condition{{Key: w.Key, Version: version}}, []table.Write{w})
+}
+
+func (l *Ledger) scan(ctx context.Context, prefix table.Key) ([]table.Row, error) {
+	var all []table.Row
+	after := table.Key("")
+	for {
+		rows, err := l.table.Scan(ctx, prefix, after, scanLimit)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if len(rows) < scanLimit {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+func decodeAll[T any](rows []table.Row) ([]T, error) {
+	values := make([]T, 0, len(rows))
+	for _, r := range rows {
+		v, err := decode[T](r)
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, v)
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/control/batch/rows.go
@@ -0,0 +1,76 @@
+package batch
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/platform/object"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+// heads is the prefix of all trainers' heads.
+const heads = table.Key("Rollout/Head/")
+
+// stored is the row of a group. Once the group is in a batch or given up, only
+// its row stays, so that submitting it again changes nothing.
+type stored struct {
+	// Group is absent once the group is done.
+	Group *Group `json:",omitempty"`
+}
+
+// formed is the row of a batch.
+type formed struct {
+	Cursor uint64
+	Groups []Ready
+}
+
+func (t Trainer) batch(cursor uint64) table.Key {
+	return t.key("Batch", fmt.Sprintf("%020d", cursor))
+}
+
+func (t Trainer) group(g GroupID) table.Key {
+	return t.key("Group", url.PathEscape(string(g)))
+}
+
+func (t Trainer) head() table.Key {
+	return table.Key(fmt.Sprintf("%s%s/%s", heads, url.PathEscape(string(t.Workspace)), url.PathEscape(t.Name)))
+}
+
+func (t Trainer) key(kind, last string) table.Key {
+	w, n := url.PathEscape(string(t.Workspace)), url.PathEscape(t.Name)
+	return table.Key(fmt.Sprintf("Rollout/%s/%s/%s/%s", kind, w, n, last))
+}
+
+func (t Trainer) object(g GroupID, round int, writer string) object.Key {
+	w, n := url.PathEscape(string(t.Workspace)), url.PathEscape(t.Name)
+	return object.Key(fmt.Sprintf("Rollout/%s/%s/%s/%d/%s", w, n, url.PathEscape(string(g)), round, writer))
+}
+
+// owner is the row of the daemon that generates the trainer's groups.
+func (t Trainer) owner() table.Key {
+	return t.key("Owner", "")
+}
+
+func (t Trainer) pending(g GroupID) table.Key {
+	return t.key("Pending", url.PathEscape(string(g)))
+}
+
+func (t Trainer) ready(g GroupID) table.Key {
+	return t.key("Ready", url.PathEscape(string(g)))
+}
+
+func decode[T any](r table.Row) (T, error) {
+	var v T
+	if r.Version == 0 {
+		return v, nil
+	}
+	return v, errors.Wrapf(json.Unmarshal(r.Value, &v), "batch: row %s", r.Key)
+}
+
+func put(k table.Key, v any) (table.Write, error) {
+	b, err := json.Marshal(v)
+	return table.Write{Key: k, Value: b}, errors.Wrapf(err, "batch: row %s", k)
+}
--- /dev/null
+++ b/internal/control/scale/duty.go
@@ -0,0 +1,288 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/fence"
+	"github.com/lacewingtally/lacewingtally/internal/control/lease"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/order"
+	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// roundsAStep bounds the rounds of one step: settle, place, settle.
+	roundsAStep = 4
+	// scanLimit is more than the slots of a region.
+	scanLimit = 10_000
+)
+
+// Demand returns how many servers each pool has work for.
+type Demand func() map[fleet.Pool]int
+
+// Duty orders the backend servers of one region. Use NewDuty.
+type Duty struct {
+	demand  Demand
+	domains []fleet.FailureDomain
+	events  timeline.Recorder
+	region  fleet.Region
+	service order.Service
+	table   table.Table
+	view    view.Source
+
+	book    Book
+	planner Planner
+	row     fence.Row
+	// learned is whether book shows the table's rows of the current epoch.
+	learned bool
+	// names counts the orders of this process, for their IDs.
+	names uint64
+}
+
+// NewDuty returns the duty Orders of a region with the given failure domains.
+func NewDuty(t table.Table, s order.Service, v view.Source, r fleet.Region, domains []fleet.FailureDomain,
+	d Demand, e timeline.Recorder,
+) *Duty {
+	return &Duty{
+		demand: d, domains: domains, events: e, region: r, service: s, table: t, view: v,
+		row: fence.Row{Key: table.Key(fmt.Sprintf("Orders/%s/Epoch", r))},
+	}
+}
+
+// Name implements lease.Duty.
+func (d *Duty) Name() fleet.Duty {
+	return lease.Orders
+}
+
+// Step implements lease.Duty.
+func (d *Duty) Step(ctx context.Context, c lease.Charge) error {
+	err := d.step(ctx, c)
+	if err != nil {
+		// What the table holds after an error is not known.
+		d.learned = false
+	}
+	return err
+}
+
+func (d *Duty) step(ctx context.Context, c lease.Charge) error {
+	if err := d.learn(ctx, c); err != nil {
+		return err
+	}
+	lines, err := d.service.List(ctx, d.region)
+	if err != nil {
+		return err
+	}
+	d.book.Reconcile(lines)
+	targets := d.targets(time.Now())
+	for range roundsAStep {
+		steps := d.book.Next(time.Now(), d.row.Epoch(), targets, d.name)
+		if len(steps) == 0 {
+			return nil
+		}
+		for _, s := range steps {
+			if err := d.do(ctx, c, s); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (d *Duty) do(ctx context.Context, c lease.Charge, s Step) error {
+	switch s.Kind {
+	case StepFind:
+		return d.find(ctx, c, s.Intent)
+	case StepSettle:
+		return d.settle(ctx, s)
+	default:
+		return d.place(ctx, c, s.Intent)
+	}
+}
+
+// find asks the platform whether an order arrived. The query's epoch makes a
+// receiver that checks fencing numbers refuse the order from now on.
+func (d *Duty) find(ctx context.Context, c lease.Charge, i Intent) error {
+	ctx, cancel, epoch, err := fence.Under(ctx, c, Life)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	_, err = d.service.Find(ctx, order.Query{ID: i.Order.ID, Region: d.region, Epoch: epoch})
+	switch {
+	case err == nil:
+		d.book.Resolve(i.Order.ID, OutcomeTaken)
+	case errors.Is(err, order.ErrAbsent):
+		d.book.Resolve(i.Order.ID, OutcomeNotTaken)
+	default:
+		return err
+	}
+	return nil
+}
+
+// learn raises the epoch's row and reads the intents and targets that earlier
+// holders left. It comes before anything else of an epoch.
+func (d *Duty) learn(ctx context.Context, c lease.Charge) error {
+	epoch, _, err := c.Check(time.Now())
+	if err != nil {
+		return err
+	}
+	if d.learned && d.row.Epoch() == epoch {
+		return nil
+	}
+	if err := d.row.Raise(ctx, d.table, epoch); err != nil {
+		return err
+	}
+	intents, err := scan[Intent](ctx, d.table, d.prefix("Intent"))
+	if err != nil {
+		return err
+	}
+	placed, err := scan[Placed](ctx, d.table, d.prefix("Placed"))
+	if err != nil {
+		return err
+	}
+	d.book.Learn(time.Now(), intents, placed)
+	d.learned = true
+	return nil
+}
+
+func (d *Duty) name() order.ID {
+	d.names++
+	return order.ID(fmt.Sprintf("%s/%d/%d", d.region, d.row.Epoch(), d.names))
+}
+
+// place writes an intent, which only the newest epoch can, and then the order.
+// The order's time is counted from before the intent was written.
+func (d *Duty) place(ctx context.Context, c lease.Charge, i Intent) error {
+	ctx, cancel, _, err := fence.Under(ctx, c, Life)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	key := d.key("Intent", i.Order.Line.Slot)
+	err = d.commit(ctx, i.Order.ID, []table.Condition{{Key: key}}, write{key: key, value: i})
+	if err != nil {
+		return err
+	}
+	d.book.Intended(time.Now(), i)
+	err = d.service.Place(ctx, i.Order)
+	switch {
+	case err == nil:
+		d.book.Resolve(i.Order.ID, OutcomeTaken)
+	case errors.Is(err, order.ErrUnfilled):
+		d.planner.Unfilled(time.Now(), i.Order.Line.Slot)
+		d.book.Resolve(i.Order.ID, OutcomeNotTaken)
+	case errors.Is(err, rest.ErrUnavailable), errors.Is(err, rest.ErrGuarded), errors.Is(err, order.ErrStale):
+		d.book.Resolve(i.Order.ID, OutcomeNotTaken)
+		return err
+	case errors.Is(err, rest.ErrUnknown):
+		// Once the order's life is over, the platform is asked.
+		return nil
+	default:
+		return err
+	}
+	d.record(timeline.OrderSent, i)
+	return nil
+}
+
+func (d *Duty) settle(ctx context.Context, s Step) error {
+	slot := s.Intent.Order.Line.Slot
+	writes := []write{{key: d.key("Intent", slot)}}
+	if s.Taken {
+		writes = append(writes, write{key: d.key("Placed", slot), value: Placed(s.Intent)})
+	}
+	if err := d.commit(ctx, s.Intent.Order.ID+"/settled", nil, writes...); err != nil {
+		return err
+	}
+	d.book.Settled(s.Intent.Order.ID)
+	d.record(timeline.OrderSettled, s.Intent)
+	return nil
+}
+
+// targets returns the lines of all pools.
+func (d *Duty) targets(now time.Time) []order.Line {
+	s := d.view.State()
+	site := Site{Region: d.region}
+	var drained []fleet.FailureDomain
+	for _, f := range d.domains {
+		if s.Config.Drained(f) {
+			drained = append(drained, f)
+			continue
+		}
+		site.Domains = append(site.Domains, f)
+	}
+	demand := d.demand()
+	var lines []order.Line
+	for _, p := range s.Config.Config.Pools {
+		lines = append(lines, d.planner.Plan(now, site, p, demand[p.Name])...)
+		for _, f := range drained {
+			lines = append(lines,
+				order.Line{Slot: slot(d.region, f, p.Name, fleet.Spot)},
+				order.Line{Slot: slot(d.region, f, p.Name, fleet.Standard)})
+		}
+	}
+	return lines
+}
+
+// write is a row to write; a nil value deletes it.
+type write struct {
+	key   table.Key
+	value any
+}
+
+// commit writes rows on the condition that no newer epoch has begun.
+func (d *Duty) commit(ctx context.Context, id order.ID, conditions []table.Condition, writes ...write) error {
+	t := table.Txn{ID: string(id), Conditions: append(conditions, d.row.Condition())}
+	for _, w := range writes {
+		if w.value == nil {
+			t.Writes = append(t.Writes, table.Write{Key: w.key, Delete: true})
+			continue
+		}
+		b, err := json.Marshal(w.value)
+		if err != nil {
+			return errors.Wrap(err, "scale: row")
+		}
+		t.Writes = append(t.Writes, table.Write{Key: w.key, Value: b})
+	}
+	return d.table.Commit(ctx, t)
+}
+
+func (d *Duty) key(kind string, s order.Slot) table.Key {
+	return d.prefix(kind) + table.Key(fmt.Sprintf("%s/%s/%s", s.FailureDomain, s.Pool, s.Kind))
+}
+
+func (d *Duty) prefix(kind string) table.Key {
+	return table.Key(fmt.Sprintf("Orders/%s/%s/", d.region, kind))
+}
+
+func (d *Duty) record(k timeline.Kind, i Intent) {
+	o := i.Order
+	s := o.Line.Slot
+	d.events.Record(timeline.Event{
+		Kind: k, Duty: lease.Orders, Epoch: o.Epoch,
+		Detail: fmt.Sprintf("%s %s/%s/%s=%d", o.ID, s.FailureDomain, s.Pool, s.Kind, o.Line.Count),
+	})
+}
+
+func scan[T any](ctx context.Context, t table.Table, prefix table.Key) ([]T, error) {
+	rows, err := t.Scan(ctx, prefix, "", scanLimit)
+	if err != nil {
+		return nil, err
+	}
+	values := make([]T, 0, len(rows))
+	for _, r := range rows {
+		var v T
+		if err := json.Unmarshal(r.Value, &v); err != nil {
+			return nil, errors.Wrapf(err, "scale: row %s", r.Key)
+		}
+		values = append(values, v)
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/control/window/rows.go
@@ -0,0 +1,76 @@
+package window
+
+import (
+	"fmt"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+// keys names the rows of one region.
+type keys struct {
+	region fleet.Region
+}
+
+// cursor is the row of the window that is reported next.
+type cursor struct {
+	Window ID
+}
+
+// included names the parts of one incarnation that a sealed window counts.
+type included struct {
+	Incarnation fleet.Incarnation
+	Sequences   []uint64
+}
+
+// sealed is the row of a sealed window.
+type sealed struct {
+	// Body is handed in as it is.
+	Body  []byte
+	Parts []included
+}
+
+// storedPart is the row of a part.
+type storedPart struct {
+	Incarnation fleet.Incarnation
+	Part        Part
+}
+
+func (k keys) closed(w ID) table.Key {
+	return table.Key(fmt.Sprintf("Usage/%s/Closed/%s", k.region, w))
+}
+
+func (k keys) cursor() table.Key {
+	return table.Key(fmt.Sprintf("Usage/%s/Cursor", k.region))
+}
+
+func (k keys) part(w ID, i fleet.Incarnation, sequence uint64) table.Key {
+	return table.Key(fmt.Sprintf("%s%s/%020d", k.partsOf(w), i, sequence))
+}
+
+func (k keys) parts() table.Key {
+	return table.Key(fmt.Sprintf("Usage/%s/Part/", k.region))
+}
+
+func (k keys) partsOf(w ID) table.Key {
+	return table.Key(fmt.Sprintf("%s%s/", k.parts(), w))
+}
+
+func (k keys) sealed(w ID) table.Key {
+	return table.Key(fmt.Sprintf("Usage/%s/Sealed/%s", k.region, w))
+}
+
+// counts reports whether the sealed window counts a part.
+func (s sealed) counts(i fleet.Incarnation, sequence uint64) bool {
+	for _, p := range s.Parts {
+		if p.Incarnation != i {
+			continue
+		}
+		for _, q := range p.Sequences {
+			if q == sequence {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/window/window.go
@@ -0,0 +1,143 @@
+// Package window counts use in windows of time and reports each window once.
+//
+// Daemons write part rows while a window is open. The holder of the duty Usage
+// closes the window, after which no part of it can be written any more, adds
+// the parts up, seals the figures in one row and hands in the bytes of that
+// row. Use that comes after the closing is reported in a later window as an
+// adjustment that names the window it belongs to.
+package window
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// Grace is how long after its end a window is closed.
+	Grace = 30 * time.Second
+	// Length is the length of a window.
+	Length = time.Minute
+
+	layout = "20060102T150405Z"
+)
+
+// ID names a window by its start in UTC. IDs sort by time.
+type ID string
+
+// Figures are what one window reports.
+type Figures struct {
+	Region fleet.Region
+	Window ID
+	// Lines are ordered and there is one a Subject.
+	Lines []Line
+}
+
+// Line is the use of one subject.
+type Line struct {
+	Subject  Subject
+	Requests uint64
+	Tokens   uint64
+}
+
+// Part is what one daemon counted of one window in one interval.
+type Part struct {
+	Window ID
+	// Sequence numbers the parts of one incarnation, from 1.
+	Sequence uint64
+	Lines    []Line
+}
+
+// Subject is what use is counted by.
+type Subject struct {
+	Workspace fleet.Workspace
+	Pool      fleet.Pool
+	Kind      fleet.Kind
+	// Adjusts names the window that the use belongs to, when that had been
+	// closed before the use was known; otherwise it is empty.
+	Adjusts ID `json:",omitempty"`
+}
+
+// counter adds up lines. The zero value is empty.
+type counter struct {
+	lines map[Subject]Line
+}
+
+// Of returns the window that t lies in.
+func Of(t time.Time) ID {
+	return ID(t.UTC().Truncate(Length).Format(layout))
+}
+
+// End returns the end of the window.
+func (i ID) End() (time.Time, error) {
+	t, err := time.Parse(layout, string(i))
+	return t.Add(Length), errors.Wrap(err, "window")
+}
+
+// Next returns the window that follows. An ID that names no window stays as
+// it is.
+func (i ID) Next() ID {
+	return i.add(Length)
+}
+
+func (i ID) add(d time.Duration) ID {
+	t, err := time.Parse(layout, string(i))
+	if err != nil {
+		return i
+	}
+	return Of(t.Add(d))
+}
+
+// Sum adds up parts. The result does not depend on their order.
+func Sum(r fleet.Region, w ID, parts []Part) Figures {
+	var c counter
+	for _, p := range parts {
+		for _, l := range p.Lines {
+			c.add(l)
+		}
+	}
+	return Figures{Region: r, Window: w, Lines: c.sorted()}
+}
+
+func (c *counter) add(l Line) {
+	if c.lines == nil {
+		c.lines = make(map[Subject]Line)
+	}
+	s := c.lines[l.Subject]
+	s.Subject = l.Subject
+	s.Requests += l.Requests
+	s.Tokens += l.Tokens
+	c.lines[l.Subject] = s
+}
+
+func (c *counter) sorted() []Line {
+	lines := make([]Line, 0, len(c.lines))
+	for _, l := range c.lines {
+		lines = append(lines, l)
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return compare(a.Subject, b.Subject) })
+	return lines
+}
+
+func compare(a, b Subject) int {
+	return cmp.Or(
+		cmp.Compare(a.Adjusts, b.Adjusts),
+		cmp.Compare(a.Workspace, b.Workspace),
+		cmp.Compare(a.Pool, b.Pool),
+		cmp.Compare(a.Kind, b.Kind),
+	)
+}
+
+func decode[T any](r table.Row) (T, error) {
+	var v T
+	if r.Version == 0 {
+		return v, nil
+	}
+	return v, errors.Wrapf(json.Unmarshal(r.Value, &v), "window: row %s", r.Key)
+}
--- /dev/null
+++ b/internal/platform/order/memory.go
@@ -0,0 +1,139 @@
+package order
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/fake"
+	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
+)
+
+// Memory is a Service within one process. The zero value is an empty one that
+// does not check fencing numbers. Its methods may be called from any
+// goroutine.
+type Memory struct {
+	Faults fake.Switch
+	// Fenced is whether orders with an old epoch are refused.
+	Fenced bool
+	// Limit, if set, bounds the count of a slot.
+	Limit func(s Slot) int
+
+	mutex   sync.Mutex
+	orders  map[ID]Order
+	targets map[Slot]int
+	// epochs holds the newest epoch seen for each region.
+	epochs  map[fleet.Region]fleet.Epoch
+	arrived []Order
+}
+
+// Arrived returns the orders that arrived, refused ones left out, repetitions
+// included, in the order of their arrival.
+func (m *Memory) Arrived() []Order {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.arrived)
+}
+
+// Find implements Service.
+func (m *Memory) Find(ctx context.Context, q Query) (Order, error) {
+	var o Order
+	err := m.Faults.Do(ctx, PathFind, func() error {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		if err := m.fence(q.Region, q.Epoch); err != nil {
+			return err
+		}
+		found, ok := m.orders[q.ID]
+		if !ok {
+			return ErrAbsent
+		}
+		o = found
+		return nil
+	})
+	return o, err
+}
+
+// List implements Service.
+func (m *Memory) List(ctx context.Context, r fleet.Region) ([]Line, error) {
+	var lines []Line
+	err := m.Faults.Do(ctx, PathList, func() error {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		lines = m.lines(r)
+		return nil
+	})
+	return lines, err
+}
+
+// Place implements Service.
+func (m *Memory) Place(ctx context.Context, o Order) error {
+	return m.Faults.Do(ctx, PathPlace, func() error {
+		if err := rest.CheckGuard(ctx); err != nil {
+			return err
+		}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		return m.place(o)
+	})
+}
+
+func (m *Memory) fence(r fleet.Region, e fleet.Epoch) error {
+	if !m.Fenced {
+		return nil
+	}
+	if e < m.epochs[r] {
+		return ErrStale
+	}
+	if m.epochs == nil {
+		m.epochs = make(map[fleet.Region]fleet.Epoch)
+	}
+	m.epochs[r] = e
+	return nil
+}
+
+func (m *Memory) lines(r fleet.Region) []Line {
+	var lines []Line
+	for s, n := range m.targets {
+		if s.Region == r {
+			lines = append(lines, Line{Slot: s, Count: n})
+		}
+	}
+	slices.SortFunc(lines, func(a, b Line) int { return Compare(a.Slot, b.Slot) })
+	return lines
+}
+
+func (m *Memory) place(o Order) error {
+	if err := m.fence(o.Line.Slot.Region, o.Epoch); err != nil {
+		return err
+	}
+	if m.Limit != nil && o.Line.Count > m.Limit(o.Line.Slot) {
+		return ErrUnfilled
+	}
+	m.arrived = append(m.arrived, o)
+	if known, ok := m.orders[o.ID]; ok {
+		if known != o {
+			return ErrMismatch
+		}
+		return nil
+	}
+	if m.orders == nil {
+		m.orders = make(map[ID]Order)
+		m.targets = make(map[Slot]int)
+	}
+	m.orders[o.ID] = o
+	m.targets[o.Line.Slot] = o.Line.Count
+	return nil
+}
+
+// Compare orders slots by region, failure domain, pool and kind.
+func Compare(a, b Slot) int {
+	return cmp.Or(
+		cmp.Compare(a.Region, b.Region),
+		cmp.Compare(a.FailureDomain, b.FailureDomain),
+		cmp.Compare(a.Pool, b.Pool),
+		cmp.Compare(a.Kind, b.Kind),
+	)
+}
--- /dev/null
+++ b/internal/platform/usage/memory.go
@@ -0,0 +1,59 @@
+package usage
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/fake"
+	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
+)
+
+// Memory is a Service within one process. The zero value is empty. Its methods
+// may be called from any goroutine.
+type Memory struct {
+	Faults fake.Switch
+
+	mutex   sync.Mutex
+	windows map[windowKey][]byte
+	arrived []Report
+}
+
+type windowKey struct {
+	region fleet.Region
+	window string
+}
+
+// Arrived returns every report that arrived, repetitions and mismatches
+// included.
+func (m *Memory) Arrived() []Report {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.arrived)
+}
+
+// Report implements Service.
+func (m *Memory) Report(ctx context.Context, r Report) error {
+	return m.Faults.Do(ctx, PathReport, func() error {
+		if err := rest.CheckGuard(ctx); err != nil {
+			return err
+		}
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.arrived = append(m.arrived, r)
+		k := windowKey{region: r.Region, window: r.Window}
+		if known, ok := m.windows[k]; ok {
+			if !bytes.Equal(known, r.Body) {
+				return ErrMismatch
+			}
+			return nil
+		}
+		if m.windows == nil {
+			m.windows = make(map[windowKey][]byte)
+		}
+		m.windows[k] = slices.Clone(r.Body)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/platform/weights/weights.go
@@ -0,0 +1,86 @@
+// Package weights speaks to the platform's weight store, whose rate is
+// limited.
+package weights
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
+)
+
+// Errors of a Service, besides those of rest.
+var (
+	// ErrAbsent says that there are no such weights.
+	ErrAbsent = errors.New("weights: absent")
+	// ErrBusy says that the store's rate is used up.
+	ErrBusy = errors.New("weights: busy")
+	// ErrOld says that a published version is not newer than the newest, or
+	// is the newest with another source.
+	ErrOld = errors.New("weights: version not newer")
+)
+
+// Paths of the HTTP interface.
+const (
+	PathFetch   = "/Weights/Fetch"
+	PathNewest  = "/Weights/Newest"
+	PathPublish = "/Weights/Publish"
+)
+
+// HTTP is a Service over HTTP. Use NewHTTP.
+type HTTP struct {
+	client *rest.Client
+}
+
+// Service is the platform's weight store.
+type Service interface {
+	// Fetch returns the bytes of one version. Its errors are ErrAbsent,
+	// ErrBusy and those of rest.
+	Fetch(ctx context.Context, p fleet.Pool, v fleet.WeightVersion) ([]byte, error)
+	// Newest returns the newest weights of the model that a pool serves. Its
+	// errors are ErrAbsent and those of rest.
+	Newest(ctx context.Context, p fleet.Pool) (Weights, error)
+	// Publish stores a version newer than all others. Publishing the newest
+	// again is no error. Its errors are ErrOld and those of rest.
+	Publish(ctx context.Context, w Weights) error
+}
+
+// Weights is one version of the weights of the model that a pool serves.
+type Weights struct {
+	Pool    fleet.Pool
+	Version fleet.WeightVersion
+	// Source is the path of the bytes in the store.
+	Source string
+}
+
+// NewHTTP returns a client of the weight store at an address.
+func NewHTTP(at netip.AddrPort) *HTTP {
+	return &HTTP{client: rest.New(at, ErrAbsent, ErrBusy, ErrOld)}
+}
+
+// Close closes the idle connections.
+func (h *HTTP) Close() {
+	h.client.Close()
+}
+
+// Fetch implements Service.
+func (h *HTTP) Fetch(ctx context.Context, p fleet.Pool, v fleet.WeightVersion) ([]byte, error) {
+	var b []byte
+	err := h.client.Call(ctx, PathFetch, Weights{Pool: p, Version: v}, &b)
+	return b, err
+}
+
+// Newest implements Service.
+func (h *HTTP) Newest(ctx context.Context, p fleet.Pool) (Weights, error) {
+	var w Weights
+	err := h.client.Call(ctx, PathNewest, p, &w)
+	return w, err
+}
+
+// Publish implements Service.
+func (h *HTTP) Publish(ctx context.Context, w Weights) error {
+	return h.client.Call(ctx, PathPublish, w, nil)
+}
