Add the confirmed view, members, leases, configuration store and table client

Cause: the daemons need facts they agree on without a consensus group. Facts are rows of the platform's table; daemons exchange evidence of how fresh what they hold is. Decisions (view.View, member.Set, lease.Lease) are plain values; peer/member and lease.Keeper do the I/O.

Two rules beyond the design: an acceptance counts majorities of the set and of the one before it, and a set names the configuration that was newest when it was written. With them one change of the set may add and remove any number of members.

Ruled out: counting the members of the newest set only (a daemon one set behind could be confirmed by members none of which holds the change).

--- /dev/null
+++ b/internal/control/lease/keeper.go
@@ -0,0 +1,303 @@
+package lease
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// callTimeout bounds one call of the table.
+	callTimeout = 2 * time.Second
+	// candidates is how many members of a region watch one lease.
+	candidates = 5
+	// pollInterval is the time between two looks at the decision.
+	pollInterval = 250 * time.Millisecond
+	// releaseTimeout bounds giving a lease back.
+	releaseTimeout = 2 * time.Second
+	// stepInterval is the time between two steps of a duty.
+	stepInterval = time.Second
+)
+
+// Epochs passes epochs between this daemon's leases and its peers. Its methods
+// may be called from any goroutine.
+type Epochs interface {
+	// Epoch returns the newest epoch heard of for a duty.
+	Epoch(d fleet.Duty) fleet.Epoch
+	// HeardEpoch takes an epoch seen in the table.
+	HeardEpoch(d fleet.Duty, e fleet.Epoch)
+}
+
+// Keeper takes, renews and gives back the lease of one duty, and runs the duty
+// while it is held. It implements Charge. Use NewKeeper.
+type Keeper struct {
+	duty     Duty
+	epochs   Epochs
+	log      *zap.Logger
+	recorder timeline.Recorder
+	region   fleet.Region
+	self     fleet.MemberID
+	table    table.Table
+	view     view.Source
+
+	mutex sync.Mutex
+	// held is whether the last look found the lease held, for the time line.
+	held bool
+	// lease is guarded by mutex.
+	lease Lease
+	// stop ends the running step; nil when none runs. Guarded by mutex.
+	stop context.CancelFunc
+}
+
+// Option changes a Keeper under construction.
+type Option func(*Keeper)
+
+// EpochKey is a row that changes with each acquisition of a lease and not with
+// its renewals, for transactions that are to be conditional on the epoch.
+func EpochKey(r fleet.Region, d fleet.Duty) table.Key {
+	return table.Key("LeaseEpoch/" + string(r) + "/" + string(d))
+}
+
+// Key is the row of a lease.
+func Key(r fleet.Region, d fleet.Duty) table.Key {
+	return table.Key("Lease/" + string(r) + "/" + string(d))
+}
+
+// NewKeeper returns a Keeper of a duty for a region. The table should settle
+// lost answers.
+func NewKeeper(t table.Table, v view.Source, e Epochs, m fleet.Member, d Duty, options ...Option) *Keeper {
+	k := &Keeper{duty: d, epochs: e, log: zap.NewNop(), region: m.Region, self: m.ID, table: t, view: v}
+	k.lease.Self = m.ID
+	for _, o := range options {
+		o(k)
+	}
+	return k
+}
+
+// WithLog sets the log.
+func WithLog(l *zap.Logger) Option {
+	return func(k *Keeper) { k.log = l }
+}
+
+// WithRecorder sets where events go.
+func WithRecorder(r timeline.Recorder) Option {
+	return func(k *Keeper) { k.recorder = r }
+}
+
+// Check implements Charge. Besides the lease it requires a confirmed view and
+// that no higher epoch was heard of.
+func (k *Keeper) Check(now time.Time) (fleet.Epoch, time.Time, error) {
+	if !k.view.State().Confirmed(now) {
+		return 0, time.Time{}, errors.Wrap(ErrNotHeld, "view not confirmed")
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lease.Heard(k.epochs.Epoch(k.duty.Name()))
+	return k.lease.Check(now)
+}
+
+// Serve keeps the lease and runs the duty until the context ends, then gives
+// the lease back.
+func (k *Keeper) Serve(ctx context.Context) error {
+	g, c := errgroup.WithContext(ctx)
+	g.Go(func() error { return k.keep(c) })
+	g.Go(func() error { return k.work(c) })
+	err := g.Wait()
+	k.release(context.WithoutCancel(ctx))
+	return err
+}
+
+// candidate reports whether this daemon is among the few that watch the lease,
+// the first in an order of the region's members that differs between duties.
+func (k *Keeper) candidate() bool {
+	own := k.rank(k.self)
+	before := 0
+	for _, m := range k.view.State().Members {
+		if m.Region == k.region && m.ID != k.self && k.rank(m.ID) < own {
+			before++
+		}
+	}
+	return before < candidates
+}
+
+// commit writes an action's row and tells the lease.
+func (k *Keeper) commit(ctx context.Context, a Action) error {
+	key, epoch := Key(k.region, k.duty.Name()), EpochKey(k.region, k.duty.Name())
+	value, err := msgpack.Marshal(a.Row)
+	if err != nil {
+		return errors.Wrap(err, "lease: row")
+	}
+	t := table.Txn{
+		ID:         uuid.NewString(),
+		Conditions: []table.Condition{{Key: key, Version: a.Version}},
+		Writes:     []table.Write{{Key: key, Value: value}},
+	}
+	if a.Kind == Acquire {
+		t.Writes = append(t.Writes, table.Write{Key: epoch, Value: value})
+	}
+	sentAt := time.Now()
+	err = k.table.Commit(ctx, t)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if err != nil {
+		k.lease.Failed()
+		return errors.Wrap(err, "lease: write")
+	}
+	k.lease.Wrote(sentAt, a)
+	return nil
+}
+
+// do carries one action out.
+func (k *Keeper) do(ctx context.Context, a Action) error {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if a.Kind != Look {
+		return k.commit(c, a)
+	}
+	rows, err := k.table.Read(c, Key(k.region, k.duty.Name()))
+	if err != nil {
+		return errors.Wrap(err, "lease: read")
+	}
+	var r Row
+	if rows[0].Version > 0 {
+		if err := msgpack.Unmarshal(rows[0].Value, &r); err != nil {
+			return errors.Wrap(err, "lease: row")
+		}
+	}
+	k.epochs.HeardEpoch(k.duty.Name(), r.Epoch)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lease.Seen(time.Now(), r, rows[0].Version)
+	return nil
+}
+
+// keep asks the decision again and again.
+func (k *Keeper) keep(ctx context.Context) error {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		k.notice()
+		if a, ok := k.next(time.Now()); ok {
+			if err := k.do(ctx, a); err != nil {
+				k.log.Debug("lease", zap.String("Duty", string(k.duty.Name())), zap.Error(err))
+			}
+		}
+		k.notice()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
+// next returns the action that is due, if the daemon may act at all.
+func (k *Keeper) next(now time.Time) (Action, bool) {
+	if !k.view.State().Confirmed(now) {
+		return Action{}, false
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	a := k.lease.Next(now)
+	if a.Kind == Wait {
+		return a, false
+	}
+	if _, _, err := k.lease.Check(now); err != nil && !k.candidate() {
+		return a, false
+	}
+	return a, true
+}
+
+// notice stops the running step when the lease is lost and records changes.
+func (k *Keeper) notice() {
+	e, _, err := k.Check(time.Now())
+	held := err == nil
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !held && k.stop != nil {
+		k.stop()
+	}
+	if held == k.held {
+		return
+	}
+	k.held = held
+	kind := timeline.LeaseLost
+	if held {
+		kind = timeline.LeaseAcquired
+	}
+	if k.recorder != nil {
+		k.recorder.Record(timeline.Event{Kind: kind, Duty: k.duty.Name(), Epoch: e})
+	}
+	k.log.Info(string(kind), zap.String("Duty", string(k.duty.Name())), zap.Uint64("Epoch", uint64(e)))
+}
+
+// rank orders members for one duty.
+func (k *Keeper) rank(id fleet.MemberID) uint64 {
+	return xxhash.Sum64String(string(k.duty.Name()) + "/" + id.String())
+}
+
+// release gives a held lease back, so that the next daemon need not wait.
+func (k *Keeper) release(ctx context.Context) {
+	c, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	_, _, err := k.Check(time.Now())
+	if err != nil {
+		return
+	}
+	if err := k.do(c, Action{Kind: Look}); err != nil {
+		return
+	}
+	k.mutex.Lock()
+	a, ok := k.lease.Release(time.Now())
+	k.mutex.Unlock()
+	if ok {
+		if err := k.commit(c, a); err != nil {
+			k.log.Debug("lease not given back", zap.Error(err))
+		}
+	}
+	k.notice()
+}
+
+// step runs one step of the duty, which ends early when the lease is lost.
+func (k *Keeper) step(ctx context.Context) {
+	c, cancel := context.WithCancel(ctx)
+	defer cancel()
+	k.mutex.Lock()
+	k.stop = cancel
+	k.mutex.Unlock()
+	err := k.duty.Step(c, k)
+	k.mutex.Lock()
+	k.stop = nil
+	k.mutex.Unlock()
+	if err != nil && ctx.Err() == nil {
+		k.log.Warn("duty step failed", zap.String("Duty", string(k.duty.Name())), zap.Error(err))
+	}
+}
+
+// work runs the duty's steps while the lease is held.
+func (k *Keeper) work(ctx context.Context) error {
+	t := time.NewTicker(stepInterval)
+	defer t.Stop()
+	for {
+		if _, _, err := k.Check(time.Now()); err == nil {
+			k.step(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/member/status.go
@@ -0,0 +1,63 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/member"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+)
+
+// Peer is what this daemon knows of one member of its region.
+type Peer struct {
+	Member fleet.Member
+	// Live is whether the daemon was heard of lately.
+	Live bool
+	// Held is what the member said last that it holds; zero when this daemon
+	// has not asked it.
+	Held member.Held
+}
+
+// Status is the state of the view for people.
+type Status struct {
+	Self fleet.Member
+	// Registered is whether the daemon counts in majorities.
+	Registered     bool
+	ConfirmedUntil time.Time
+	Held           member.Held
+	Known          member.Held
+	// TableReached is whether the last call of the table succeeded.
+	TableReached bool
+	Peers        []Peer
+}
+
+// Status returns the state of the view.
+func (r *Runtime) Status(ctx context.Context) (Status, error) {
+	return ask(ctx, r, r.status)
+}
+
+func (r *Runtime) status(now time.Time) Status {
+	c := &r.control
+	set := c.view.Set()
+	s := Status{
+		Self:           r.self,
+		Registered:     set.Contains(r.self.ID),
+		ConfirmedUntil: c.view.ConfirmedUntil(),
+		Held:           c.view.Held(),
+		Known:          c.view.Known(),
+		TableReached:   c.reached,
+	}
+	live := make(map[fleet.MemberID]bool)
+	for _, id := range c.view.Contacts(now, view.ContactWindow) {
+		live[id] = true
+	}
+	for _, m := range set.Members {
+		x := Peer{Member: m, Live: live[m.ID] || m.ID == r.self.ID, Held: c.evidence.Held[m.ID]}
+		if m.ID == r.self.ID {
+			x.Held = c.view.Held()
+		}
+		s.Peers = append(s.Peers, x)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/platform/table/budget.go
@@ -0,0 +1,56 @@
+package table
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// Budget is a Table that bounds the rate of one daemon's calls. A call over
+// the budget waits; one that cannot be made before its context ends is refused
+// with ErrUnavailable.
+type Budget struct {
+	Table Table
+	// Limiter bounds the calls; nil is no bound.
+	Limiter *rate.Limiter
+}
+
+// NewBudget returns a Budget of perSecond calls, with as many at once.
+func NewBudget(t Table, perSecond int) Budget {
+	return Budget{Table: t, Limiter: rate.NewLimiter(rate.Limit(perSecond), perSecond)}
+}
+
+// Commit implements Table.
+func (b Budget) Commit(ctx context.Context, t Txn) error {
+	if err := b.take(ctx); err != nil {
+		return err
+	}
+	return b.Table.Commit(ctx, t)
+}
+
+// Read implements Table.
+func (b Budget) Read(ctx context.Context, keys ...Key) ([]Row, error) {
+	if err := b.take(ctx); err != nil {
+		return nil, err
+	}
+	return b.Table.Read(ctx, keys...)
+}
+
+// Scan implements Table.
+func (b Budget) Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error) {
+	if err := b.take(ctx); err != nil {
+		return nil, err
+	}
+	return b.Table.Scan(ctx, prefix, after, limit)
+}
+
+func (b Budget) take(ctx context.Context) error {
+	if b.Limiter == nil {
+		return nil
+	}
+	if err := b.Limiter.Wait(ctx); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil
+}
