Let a member that names the newer set count for the set before

Cause: TestCutOffDaemonStopsServing failed: with three daemons registered one after another the set before the last has two members, so one daemon cut off held every change up for as long as it stayed registered.

Ruled out: not counting the set before at all; a daemon that knows only of that set could then be confirmed by members none of which holds the change.

Before: a change stayed pending. After: a member of the set before counts also when it names the newer set, for whoever asks it learns of the set before it is confirmed. The test passes.

--- a/internal/control/member/set.go
+++ b/internal/control/member/set.go
@@ -86,13 +86,18 @@
 
 // Accepted reports whether a configuration is known so widely that no daemon
 // of the region can be confirmed with an older one by contacts made from now
-// on: majorities of the set and of the one before it hold it. It counts ended
-// runs as holding it, since they confirm nobody any more.
+// on. A majority of the set must hold it. So must a majority of the set before,
+// for the sake of daemons that know of no newer one; a member that names the
+// newer set serves as well, for then they are not confirmed before they have
+// taken it over. Ended runs count, since they confirm nobody any more.
 func (s Set) Accepted(r fleet.ConfigRevision, e Evidence) bool {
 	holds := func(id fleet.MemberID) bool {
 		return e.Held[id].Config >= r
 	}
-	return s.most(s.IDs(), e, holds) && s.most(s.Previous, e, holds)
+	tells := func(id fleet.MemberID) bool {
+		return holds(id) || e.Held[id].Set >= s.Revision
+	}
+	return s.most(s.IDs(), e, holds) && s.most(s.Previous, e, tells)
 }
 
 // Contains reports whether id is a member.
