--- /dev/null
+++ b/internal/daemon/timeline/kinds.go
@@ -0,0 +1,12 @@
+package timeline
+
+// Kinds returns the closed list of kinds, in order.
+func Kinds() []Kind {
+	return []Kind{
+		BatchFormed, BatchServed, ConfigAccepted, ConfigInForce, DrainBegun, DrainEnded, KeyRefused,
+		LeaseAcquired, LeaseLost, MemberJoined, MemberLost, OrderSent, OrderSettled, RequestEnded,
+		RequestGranted, RequestQuarantined, RequestRefused, RequestStarted, SampleDiscarded, ServerCrashed,
+		ServerLeaving, ServerSeen, Started, StoreLost, StoreReached, StreamResumed, ViewConfirmed,
+		ViewUnconfirmed, WeightsOrdered, WeightsServed, WindowReported, WindowSealed,
+	}
+}
