Add the operators' service and the command line

Cause: operators and callers need a way in that goes through any daemon. Ruled out: repeating every raced edit, which would overwrite what another operator set meanwhile; an edit is now repeated only when the other change is of other entries (raced.txtar, raced-same.txtar). Before: empty main.

--- a/cmd/lacewingtally/main.go
+++ b/cmd/lacewingtally/main.go
@@ -1,4 +1,21 @@
 // Command lacewingtally is the daemon and its command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/lacewingtally/lacewingtally/internal/daemon/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, command.Options{
+		Stdout: os.Stdout,
+		Stderr: os.Stderr,
+	}, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/internal/caller/operator/authenticator.go
@@ -0,0 +1,34 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+)
+
+const (
+	authorization = "Authorization"
+	bearer        = "Bearer "
+)
+
+// ErrKey says that a request came without the operators' key.
+var ErrKey = errors.New("operator: not the operators' key")
+
+// authenticator admits only requests with the key of the given hash. An empty
+// hash admits none.
+func authenticator(keyHash string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			key, ok := strings.CutPrefix(r.Header().Get(authorization), bearer)
+			if !ok || subtle.ConstantTimeCompare([]byte(config.HashKey(key)), []byte(keyHash)) != 1 {
+				return nil, connect.NewError(connect.CodeUnauthenticated, ErrKey)
+			}
+			return next(ctx, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/operator/operator.go
@@ -0,0 +1,205 @@
+// Package operator serves the operators' connect service.
+package operator
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/operatorv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// defaultHistory is the number of revisions listed when none is asked for.
+	defaultHistory = 20
+	// maxHistory bounds the revisions listed at once.
+	maxHistory = 500
+	// maxRequestBytes bounds the size of a request.
+	maxRequestBytes = 8 << 20
+)
+
+// Confirmer waits for a revision to be in force. It returns the regions where
+// it is written but not known to be in force.
+type Confirmer interface {
+	Confirm(ctx context.Context, r fleet.ConfigRevision) ([]fleet.Region, error)
+}
+
+// EventSource gives the events of all reachable daemons in one order, and the
+// daemons that did not answer.
+type EventSource interface {
+	Events(ctx context.Context, since time.Time, limit int) ([]timeline.Event, []netip.AddrPort)
+}
+
+// Handler implements operatorv1.OperatorServiceHandler.
+type Handler struct {
+	confirmer Confirmer
+	events    EventSource
+	recorder  timeline.Recorder
+	status    StatusSource
+	store     Store
+}
+
+// Store keeps the revisions of the configuration. Its errors are those of
+// config.Store.
+type Store interface {
+	Apply(ctx context.Context, base fleet.ConfigRevision, c config.Config, operator, reason string) (config.Config, error)
+	Get(ctx context.Context, r fleet.ConfigRevision) (config.Config, error)
+	Head(ctx context.Context) (fleet.ConfigRevision, error)
+	List(ctx context.Context, after fleet.ConfigRevision, limit int) ([]config.Entry, error)
+}
+
+// Parts are what a Handler stands on. None is nil.
+type Parts struct {
+	Confirmer Confirmer
+	Events    EventSource
+	Recorder  timeline.Recorder
+	Status    StatusSource
+	Store     Store
+}
+
+// New returns the path and the HTTP handler of the service, which admits only
+// callers that show the key with the given hash.
+func New(p Parts, keyHash string) (string, http.Handler) {
+	h := &Handler{confirmer: p.Confirmer, events: p.Events, recorder: p.Recorder, status: p.Status, store: p.Store}
+	return operatorv1.NewOperatorServiceHandler(h,
+		connect.WithInterceptors(authenticator(keyHash)),
+		connect.WithReadMaxBytes(maxRequestBytes))
+}
+
+// ApplyConfig implements operatorv1.OperatorServiceHandler. When the revision
+// is written but its confirmation fails, the answer names what is pending.
+func (h *Handler) ApplyConfig(ctx context.Context, r *connect.Request[operatorv1.ApplyConfigRequest]) (*connect.Response[operatorv1.ApplyConfigResponse], error) {
+	c, err := config.Parse([]byte(r.Msg.GetYaml()))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	base := fleet.ConfigRevision(r.Msg.GetBase())
+	written, err := h.store.Apply(ctx, base, c, r.Msg.GetOperator(), r.Msg.GetReason())
+	if err != nil {
+		return nil, fault(err)
+	}
+	h.recorder.Record(timeline.Event{
+		Kind:     timeline.ConfigAccepted,
+		Revision: written.Revision,
+		Detail:   r.Msg.GetOperator() + ": " + r.Msg.GetReason(),
+	})
+	pending, err := h.confirmer.Confirm(ctx, written.Revision)
+	a := &operatorv1.ApplyConfigResponse{
+		Revision: uint64(written.Revision),
+		InForce:  err == nil && len(pending) == 0,
+	}
+	for _, p := range pending {
+		a.PendingRegions = append(a.PendingRegions, string(p))
+	}
+	if a.InForce {
+		h.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Revision: written.Revision, Detail: "everywhere"})
+	}
+	return connect.NewResponse(a), nil
+}
+
+// GetConfig implements operatorv1.OperatorServiceHandler.
+func (h *Handler) GetConfig(ctx context.Context, r *connect.Request[operatorv1.GetConfigRequest]) (*connect.Response[operatorv1.GetConfigResponse], error) {
+	n := fleet.ConfigRevision(r.Msg.GetRevision())
+	if n == 0 {
+		head, err := h.store.Head(ctx)
+		if err != nil {
+			return nil, fault(err)
+		}
+		n = head
+	}
+	c, err := h.store.Get(ctx, n)
+	if err != nil {
+		return nil, fault(err)
+	}
+	b, err := config.Marshal(c)
+	if err != nil {
+		return nil, fault(err)
+	}
+	return connect.NewResponse(&operatorv1.GetConfigResponse{Revision: uint64(n), Yaml: string(b)}), nil
+}
+
+// GetStatus implements operatorv1.OperatorServiceHandler.
+func (h *Handler) GetStatus(ctx context.Context, _ *connect.Request[operatorv1.GetStatusRequest]) (*connect.Response[operatorv1.GetStatusResponse], error) {
+	return connect.NewResponse(message(h.status.Status(ctx))), nil
+}
+
+// ListConfig implements operatorv1.OperatorServiceHandler.
+func (h *Handler) ListConfig(ctx context.Context, r *connect.Request[operatorv1.ListConfigRequest]) (*connect.Response[operatorv1.ListConfigResponse], error) {
+	limit := fleet.ConfigRevision(min(r.Msg.GetLimit(), maxHistory))
+	if limit == 0 {
+		limit = defaultHistory
+	}
+	head, err := h.store.Head(ctx)
+	if err != nil {
+		return nil, fault(err)
+	}
+	entries, err := h.store.List(ctx, head-min(limit, head), int(limit))
+	if err != nil {
+		return nil, fault(err)
+	}
+	a := &operatorv1.ListConfigResponse{}
+	for i := len(entries) - 1; i >= 0; i-- {
+		e := entries[i]
+		a.Revisions = append(a.Revisions, &operatorv1.Revision{
+			Revision: uint64(e.Revision),
+			At:       timestamppb.New(e.At),
+			Operator: e.Operator,
+			Reason:   e.Reason,
+		})
+	}
+	return connect.NewResponse(a), nil
+}
+
+// ListEvents implements operatorv1.OperatorServiceHandler.
+func (h *Handler) ListEvents(ctx context.Context, r *connect.Request[operatorv1.ListEventsRequest]) (*connect.Response[operatorv1.ListEventsResponse], error) {
+	var since time.Time
+	if r.Msg.GetSince() != nil {
+		since = r.Msg.GetSince().AsTime()
+	}
+	events, unreachable := h.events.Events(ctx, since, int(r.Msg.GetLimit()))
+	a := &operatorv1.ListEventsResponse{}
+	for _, e := range events {
+		b, err := timeline.Encode(e)
+		if err != nil {
+			return nil, fault(err)
+		}
+		a.Events = append(a.Events, string(b))
+	}
+	for _, u := range unreachable {
+		a.Unreachable = append(a.Unreachable, u.String())
+	}
+	return connect.NewResponse(a), nil
+}
+
+// fault returns the connect error of a Store's error.
+func fault(err error) error {
+	code := connect.CodeInternal
+	for _, f := range []struct {
+		sentinel error
+		code     connect.Code
+	}{
+		{sentinel: config.ErrRaced, code: connect.CodeAborted},
+		{sentinel: config.ErrInvalid, code: connect.CodeInvalidArgument},
+		{sentinel: config.ErrNoReason, code: connect.CodeInvalidArgument},
+		{sentinel: config.ErrNotFound, code: connect.CodeNotFound},
+		{sentinel: config.ErrUnchanged, code: connect.CodeFailedPrecondition},
+		{sentinel: table.ErrUnknown, code: connect.CodeUnknown},
+		{sentinel: table.ErrUnavailable, code: connect.CodeUnavailable},
+		{sentinel: context.DeadlineExceeded, code: connect.CodeDeadlineExceeded},
+	} {
+		if errors.Is(err, f.sentinel) {
+			code = f.code
+			break
+		}
+	}
+	return connect.NewError(code, err)
+}
--- /dev/null
+++ b/internal/caller/operator/status.go
@@ -0,0 +1,118 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/operatorv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// LeaseStatus is a duty's holder as a daemon knows it.
+type LeaseStatus struct {
+	Region fleet.Region
+	Duty   fleet.Duty
+	Holder fleet.MemberID
+	Epoch  fleet.Epoch
+}
+
+// MemberStatus is a daemon as another knows it.
+type MemberStatus struct {
+	Member fleet.Member
+	// Revision is the newest that the member said it holds.
+	Revision fleet.ConfigRevision
+	// HeardAt is zero for a member never heard of.
+	HeardAt time.Time
+}
+
+// ServerStatus is a backend server as a daemon knows it.
+type ServerStatus struct {
+	Server  fleet.Server
+	Version fleet.WeightVersion
+	Running int
+}
+
+// Status is the state of the fleet as one daemon knows it.
+type Status struct {
+	Revision fleet.ConfigRevision
+	// Confirmed is whether the daemon may do keyed work.
+	Confirmed      bool
+	StoreReachable bool
+	Members        []MemberStatus
+	Servers        []ServerStatus
+	Leases         []LeaseStatus
+	Workspaces     []WorkspaceStatus
+}
+
+// StatusSource gives the newest status.
+type StatusSource interface {
+	Status(ctx context.Context) Status
+}
+
+// WorkspaceStatus is what a workspace does in the cells of one daemon.
+type WorkspaceStatus struct {
+	Name    fleet.Workspace
+	Running int
+	Waiting int
+}
+
+// message returns a status in its wire form.
+func message(s Status) *operatorv1.GetStatusResponse {
+	m := &operatorv1.GetStatusResponse{
+		Revision:       uint64(s.Revision),
+		ViewConfirmed:  s.Confirmed,
+		StoreReachable: s.StoreReachable,
+	}
+	for _, x := range s.Members {
+		m.Members = append(m.Members, memberMessage(x))
+	}
+	for _, x := range s.Servers {
+		m.Servers = append(m.Servers, serverMessage(x))
+	}
+	for _, x := range s.Leases {
+		m.Leases = append(m.Leases, &operatorv1.Lease{
+			Region: string(x.Region),
+			Duty:   string(x.Duty),
+			Holder: x.Holder.String(),
+			Epoch:  uint64(x.Epoch),
+		})
+	}
+	for _, x := range s.Workspaces {
+		m.Workspaces = append(m.Workspaces, &operatorv1.Workspace{
+			Name:    string(x.Name),
+			Running: uint32(x.Running),
+			Waiting: uint32(x.Waiting),
+		})
+	}
+	return m
+}
+
+func memberMessage(x MemberStatus) *operatorv1.Member {
+	m := &operatorv1.Member{
+		Address:       x.Member.ID.Address.String(),
+		Region:        string(x.Member.Region),
+		FailureDomain: string(x.Member.FailureDomain),
+		Incarnation:   string(x.Member.ID.Incarnation),
+		Revision:      uint64(x.Revision),
+	}
+	if !x.HeardAt.IsZero() {
+		m.HeardAt = timestamppb.New(x.HeardAt)
+	}
+	return m
+}
+
+func serverMessage(x ServerStatus) *operatorv1.Server {
+	return &operatorv1.Server{
+		ServerId:      string(x.Server.ID),
+		Address:       x.Server.Address.String(),
+		Region:        string(x.Server.Region),
+		FailureDomain: string(x.Server.FailureDomain),
+		Pool:          string(x.Server.Pool),
+		Kind:          string(x.Server.Kind),
+		State:         string(x.Server.State),
+		WeightVersion: uint64(x.Version),
+		Running:       uint32(x.Running),
+	}
+}
--- /dev/null
+++ b/internal/daemon/command/call.go
@@ -0,0 +1,168 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+)
+
+const (
+	// defaultDeadline is how long a call may take.
+	defaultDeadline = "2m"
+	// maxResumes bounds how often a cut answer is resumed.
+	maxResumes = 5
+)
+
+// errNoEnd says that a stream ended without its end mark.
+var errNoEnd = errors.New("the answer ended early")
+
+// answer is a generated text, whole or in part.
+type answer struct {
+	Request fleet.RequestID
+	Text    string
+	Tokens  uint32
+	// Versions are the weight versions that generated the text, in order.
+	Versions []fleet.WeightVersion
+	// Resumes counts how often the answer was cut and resumed.
+	Resumes int
+	// Whole is whether the end mark was received.
+	Whole bool
+}
+
+// resumable are the reasons of refusals after which an answer is resumed
+// through another daemon.
+var resumable = map[refusal.Reason]bool{
+	refusal.ReasonConnectionLost: true,
+	refusal.ReasonDraining:       true,
+	refusal.ReasonUnconfirmed:    true,
+}
+
+func (s *session) addCall(a *kingpin.Application) {
+	c := a.Command("call", "Send a request as a caller.")
+	s.addGenerate(c)
+	s.addService(c)
+}
+
+func (s *session) addGenerate(c *kingpin.CmdClause) {
+	g := c.Command("generate", "Generate an answer and print it as it comes.")
+	m := &callerv1.GenerateRequest{}
+	g.Flag("pool", "Pool of model engines.").Required().StringVar(&m.Pool)
+	g.Flag("prompt", "Prompt.").Required().StringVar(&m.Prompt)
+	g.Flag("max-tokens", "Most tokens to generate.").Default("64").Uint32Var(&m.MaxTokens)
+	g.Flag("seed", "Seed of the generation.").Uint64Var(&m.Seed)
+	g.Flag("request-id", "ID of the request, the same in every repeat of it.").StringVar(&m.RequestId)
+	wait := g.Flag("deadline", "Longest time to wait.").Default(defaultDeadline).Duration()
+	g.Action(func(*kingpin.ParseContext) error {
+		m.Deadline = timestamppb.New(time.Now().Add(*wait))
+		if m.RequestId == "" {
+			m.RequestId = uuid.NewString()
+		}
+		w, err := s.generate(m)
+		if err != nil {
+			return err
+		}
+		return s.print(w, func(out io.Writer) {
+			fmt.Fprintf(out, "\n[whole: %d tokens, weight versions %v, resumed %d times, request %s]\n", w.Tokens, w.Versions, w.Resumes, w.Request)
+		})
+	})
+}
+
+// generate receives a whole answer, resuming it when it is cut.
+func (s *session) generate(m *callerv1.GenerateRequest) (answer, error) {
+	c := s.connector(defaultCallers)
+	w := answer{Request: fleet.RequestID(m.GetRequestId())}
+	for {
+		err := s.receive(c, m, &w)
+		if err == nil {
+			return w, nil
+		}
+		if !isResumable(err) || w.Resumes == maxResumes {
+			return w, err
+		}
+		w.Resumes++
+		c.next()
+		m.Offset, m.Partial = w.Tokens, w.Text
+		if err := s.pause(err); err != nil {
+			return w, err
+		}
+	}
+}
+
+// pause waits as long as a refusal asks for.
+func (s *session) pause(err error) error {
+	r := refusalOf(err)
+	if r.GetRetryAfter() == nil {
+		return nil
+	}
+	t := time.NewTimer(r.GetRetryAfter().AsDuration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-s.ctx.Done():
+		return err
+	}
+}
+
+// receive adds one stream's chunks to w.
+func (s *session) receive(c *connector, m *callerv1.GenerateRequest, w *answer) error {
+	r, err := callerRequest(s, m)
+	if err != nil {
+		return err
+	}
+	stream, err := s.generation(c).Generate(s.ctx, r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		x := stream.Msg()
+		if x.GetOffset() != w.Tokens {
+			return fail(ExitMayHaveRun, errors.Errorf("chunk at offset %d, expected %d", x.GetOffset(), w.Tokens))
+		}
+		w.add(x)
+		if s.output == outputText {
+			fmt.Fprint(s.Stdout, x.GetText())
+		}
+	}
+	if stream.Err() != nil {
+		return stream.Err()
+	}
+	if !w.Whole {
+		return fail(ExitMayHaveRun, errNoEnd)
+	}
+	return nil
+}
+
+func (w *answer) add(x *callerv1.GenerateResponse) {
+	w.Text += x.GetText()
+	w.Tokens += x.GetTokens()
+	w.Whole = x.GetEnd()
+	v := fleet.WeightVersion(x.GetWeightVersion())
+	if x.GetTokens() > 0 && (len(w.Versions) == 0 || w.Versions[len(w.Versions)-1] != v) {
+		w.Versions = append(w.Versions, v)
+	}
+}
+
+// isResumable reports whether an answer that ended with err may go on through
+// another daemon: the connection was cut, or the daemon itself can't go on.
+func isResumable(err error) bool {
+	if r := refusalOf(err); r != nil {
+		return resumable[refusal.Reason(r.GetReason())]
+	}
+	if errors.Is(err, errNoEnd) {
+		return true
+	}
+	var c *connect.Error
+	return errors.As(err, &c) && !connect.IsWireError(err) && !isDial(err) && c.Code() != connect.CodeCanceled && c.Code() != connect.CodeDeadlineExceeded
+}
--- /dev/null
+++ b/internal/daemon/command/edit.go
@@ -0,0 +1,140 @@
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/operatorv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/set"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+)
+
+// maxRaces bounds how often an edit that others race is tried.
+const maxRaces = 8
+
+// applied is the outcome of a change of the configuration.
+type applied struct {
+	Revision       fleet.ConfigRevision
+	InForce        bool
+	PendingRegions []string `json:",omitempty"`
+}
+
+// entry names one entry of a document.
+type entry struct {
+	section config.Section
+	name    string
+}
+
+// apply sends a document that was made from revision base.
+func (s *session) apply(base fleet.ConfigRevision, c config.Config, reason string) (applied, error) {
+	if s.operator == "" {
+		return applied{}, errors.Wrap(ErrUsage, "--operator is needed")
+	}
+	if err := c.Validate(); err != nil {
+		return applied{}, err
+	}
+	b, err := config.Marshal(c)
+	if err != nil {
+		return applied{}, err
+	}
+	a, err := operatorCall(s, s.operatorService().ApplyConfig, &operatorv1.ApplyConfigRequest{
+		Base: uint64(base), Yaml: string(b), Operator: s.operator, Reason: reason,
+	})
+	if err != nil {
+		return applied{}, err
+	}
+	if !a.GetInForce() {
+		s.code = ExitNotInForce
+	}
+	return applied{
+		Revision:       fleet.ConfigRevision(a.GetRevision()),
+		InForce:        a.GetInForce(),
+		PendingRegions: a.GetPendingRegions(),
+	}, nil
+}
+
+// current returns a revision of the configuration, the newest for 0.
+func (s *session) current(r fleet.ConfigRevision) (config.Config, error) {
+	a, err := operatorCall(s, s.operatorService().GetConfig, &operatorv1.GetConfigRequest{Revision: uint64(r)})
+	if err != nil {
+		return config.Config{}, err
+	}
+	c, err := config.Parse([]byte(a.GetYaml()))
+	c.Revision = fleet.ConfigRevision(a.GetRevision())
+	return c, err
+}
+
+// edit changes the newest configuration by f. When another operator's change
+// comes first, f is applied to that, unless it touched an entry that f touches
+// too: then the race is reported and nothing is changed.
+func (s *session) edit(reason string, f func(c *config.Config) error) (applied, error) {
+	var touched set.Set[entry]
+	var last config.Config
+	for n := range maxRaces {
+		c, err := s.current(0)
+		if err != nil {
+			return applied{}, err
+		}
+		if n > 0 && overlaps(touched, config.Diff(last, c)) {
+			break
+		}
+		last = c
+		next := clone(c)
+		if err := f(&next); err != nil {
+			return applied{}, err
+		}
+		for _, d := range config.Diff(c, next) {
+			touched.Add(entry{section: d.Section, name: d.Name})
+		}
+		a, err := s.apply(c.Revision, next, reason)
+		if connect.CodeOf(err) != connect.CodeAborted {
+			return a, err
+		}
+	}
+	return applied{}, fail(ExitRefused, errors.New("another operator changed the same entry; nothing was changed"))
+}
+
+// printApplied reports a change.
+func (s *session) printApplied(a applied, what string) error {
+	return s.print(a, func(w io.Writer) {
+		fmt.Fprintf(w, "%s, revision %d, ", what, a.Revision)
+		switch {
+		case a.InForce:
+			fmt.Fprintln(w, "in force everywhere")
+		case len(a.PendingRegions) > 0:
+			fmt.Fprintf(w, "written, not yet in force in %v\n", a.PendingRegions)
+		default:
+			fmt.Fprintln(w, "written, not yet known to be in force")
+		}
+	})
+}
+
+// clone returns a copy of a document that shares nothing with it.
+func clone(c config.Config) config.Config {
+	n := c
+	n.Workspaces = append([]config.Workspace(nil), c.Workspaces...)
+	n.Keys = append([]config.Key(nil), c.Keys...)
+	n.Exceptions = append([]config.Exception(nil), c.Exceptions...)
+	n.Pools = append([]config.Pool(nil), c.Pools...)
+	n.Routes = append([]config.Route(nil), c.Routes...)
+	n.Drains = append([]config.Drain(nil), c.Drains...)
+	n.Defaults = make(map[config.Setting]float64, len(c.Defaults))
+	for k, v := range c.Defaults {
+		n.Defaults[k] = v
+	}
+	return n
+}
+
+// overlaps reports whether one of the changes is of an entry in touched.
+func overlaps(touched set.Set[entry], changes []config.Change) bool {
+	for _, d := range changes {
+		if touched.Contains(entry{section: d.Section, name: d.Name}) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/daemon/command/service.go
@@ -0,0 +1,116 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+)
+
+// Headers of plain requests and their answers.
+const (
+	headerRefusal    = "Lacewingtally-Refusal"
+	headerRequestID  = "Request-Id"
+	headerRetryAfter = "Retry-After"
+)
+
+// Values of headerRefusal.
+const (
+	refusedGaveUp     = "GaveUp"
+	refusedMayHaveRun = "MayHaveRun"
+	refusedNotRun     = "NotRun"
+)
+
+// plainRequest is a request to a plain service.
+type plainRequest struct {
+	method string
+	path   string
+	body   string
+	id     string
+	wait   time.Duration
+}
+
+// plainAnswer is the answer of a plain service.
+type plainAnswer struct {
+	Status int
+	Body   string
+}
+
+func (s *session) addService(c *kingpin.CmdClause) {
+	v := c.Command("service", "Send a request to a plain service and print its answer.")
+	var p plainRequest
+	v.Arg("path", "Path, as the routes have it.").Required().StringVar(&p.path)
+	v.Flag("method", "HTTP method.").Default(http.MethodPost).StringVar(&p.method)
+	v.Flag("body", "Body of the request.").StringVar(&p.body)
+	v.Flag("request-id", "ID of the request, the same in every repeat of it.").StringVar(&p.id)
+	v.Flag("deadline", "Longest time to wait.").Default(defaultDeadline).DurationVar(&p.wait)
+	v.Action(func(*kingpin.ParseContext) error {
+		w, err := s.callService(p)
+		if err != nil {
+			return err
+		}
+		return s.print(w, func(out io.Writer) {
+			fmt.Fprintf(out, "%s\n[status %d]\n", strings.TrimRight(w.Body, "\n"), w.Status)
+		})
+	})
+}
+
+func (s *session) callService(p plainRequest) (plainAnswer, error) {
+	if !strings.HasPrefix(p.path, "/") {
+		return plainAnswer{}, errors.Wrap(ErrUsage, "the path begins with a slash")
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, p.wait)
+	defer cancel()
+	c := s.connector(defaultCallers)
+	r, err := http.NewRequestWithContext(ctx, p.method, c.url()+p.path, strings.NewReader(p.body))
+	if err != nil {
+		return plainAnswer{}, errors.Wrap(ErrUsage, err.Error())
+	}
+	// Without GetBody net/http cannot send the request again.
+	r.GetBody = nil
+	if p.id != "" {
+		r.Header.Set(headerRequestID, p.id)
+	}
+	if s.keyFile != "" {
+		k, err := readKey(s.keyFile)
+		if err != nil {
+			return plainAnswer{}, err
+		}
+		r.Header.Set(authorization, bearer+k)
+	}
+	a, err := c.client().Do(r)
+	if isDial(err) {
+		return plainAnswer{}, fail(ExitFailed, err)
+	}
+	if err != nil {
+		return plainAnswer{}, fail(ExitMayHaveRun, err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	return readAnswer(a)
+}
+
+func readAnswer(a *http.Response) (plainAnswer, error) {
+	b, err := io.ReadAll(a.Body)
+	if err != nil {
+		return plainAnswer{}, fail(ExitMayHaveRun, err)
+	}
+	w := plainAnswer{Status: a.StatusCode, Body: string(b)}
+	code, ok := map[string]int{
+		refusedGaveUp:     ExitGaveUp,
+		refusedMayHaveRun: ExitMayHaveRun,
+		refusedNotRun:     ExitRefused,
+	}[a.Header.Get(headerRefusal)]
+	if !ok {
+		return w, nil
+	}
+	text := strings.TrimSpace(w.Body)
+	if after := a.Header.Get(headerRetryAfter); after != "" {
+		text += ", come back in " + after + "s"
+	}
+	return plainAnswer{}, fail(code, errors.New(text))
+}
