--- a/internal/daemon/command/command_test.go
+++ b/internal/daemon/command/command_test.go
@@ -199,7 +199,7 @@
 
 func servePlain(w http.ResponseWriter, r *http.Request) {
 	if kind, ok := strings.CutPrefix(r.URL.Path, "/refused/"); ok {
-		w.Header().Set("Lacewingtally-Refusal", kind)
+		w.Header().Set("Refusal-Kind", kind)
 		w.Header().Set("Retry-After", "2")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		fmt.Fprintln(w, "reason of the refusal")
--- a/internal/daemon/command/service.go
+++ b/internal/daemon/command/service.go
@@ -14,7 +14,7 @@
 
 // Headers of plain requests and their answers.
 const (
-	headerRefusal    = "Lacewingtally-Refusal"
+	headerRefusal    = "Refusal-Kind"
 	headerRequestID  = "Request-Id"
 	headerRetryAfter = "Retry-After"
 )
