Carry requests to engines and services

Cause: the traffic path had interfaces only. Each attempt has a connection of its own: an open one may have gone silent, and net/http repeats requests on connections that it reuses. A pool of connections proved alive was ruled out for now; its gain is to be measured. A byte counts as sent before its write begins, and a connection of a request that the library gave up on is sealed, so that 'not run' holds. Before: nothing ran. After: streams resume at their offset, requests that may not be repeated are claimed in the table first, requests that crash two servers are quarantined, and withdrawn keys cut open streams.

--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -29,7 +29,8 @@
 	Export(ctx context.Context, attempt string) (KV, error)
 	// Generate sends one attempt and calls emit for each chunk, in order. It
 	// returns nil only after the end mark. Its errors tell apart
-	// ErrNotSent, ErrRefused, ErrCut and ErrProtocol.
+	// ErrNotSent, ErrRefused, ErrCut, ErrCrashed and ErrProtocol; an error of
+	// emit is returned as it is.
 	Generate(ctx context.Context, r Request, emit func(Chunk) error) error
 	// Load orders the engine to swap its weights.
 	Load(ctx context.Context, o LoadOrder) error
@@ -61,7 +62,8 @@
 	// Partial is the text generated so far, when an answer is resumed.
 	Partial string
 	// Offset is the number of tokens in Partial.
-	Offset    int
+	Offset int
+	// MaxTokens bounds the whole answer, Partial included.
 	MaxTokens int
 	Class     fleet.Class
 	Seed      uint64
@@ -78,4 +80,7 @@
 	KVUsed float64
 	// At is when the engine took the reading.
 	At time.Time
+	// Boot names the run of the engine process; it changes when the engine
+	// restarts, and is empty when the engine does not say.
+	Boot string
 }
--- /dev/null
+++ b/internal/backend/engine/http.go
@@ -0,0 +1,232 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
+)
+
+// Paths and headers of the engines' interface.
+const (
+	PathExport   = "/export"
+	PathGenerate = "/generate"
+	PathLoad     = "/load"
+	PathStatus   = "/status"
+
+	// AttemptHeader echoes the attempt that an answer belongs to.
+	AttemptHeader = "Attempt-Id"
+	// BootHeader names the run of the engine that answers.
+	BootHeader = "Engine-Boot"
+)
+
+const (
+	// lineLimit bounds one chunk of a stream, in bytes.
+	lineLimit = 1 << 20
+	// probeTimeout bounds the question whether an engine still runs.
+	probeTimeout = 2 * time.Second
+	// readBuffer is the size of the read buffer of a stream, in bytes.
+	readBuffer = 4 << 10
+)
+
+// Errors of an Engine.
+var (
+	// ErrCrashed says that the engine failed while it ran the attempt.
+	ErrCrashed = exchange.ErrCrashed
+	// ErrCut says that the answer ended before its end mark.
+	ErrCut = exchange.ErrCut
+	// ErrNotSent says that no byte of the attempt was sent.
+	ErrNotSent = exchange.ErrNotSent
+	// ErrProtocol says that what came is not the answer to this attempt.
+	ErrProtocol = exchange.ErrProtocol
+	// ErrRefused says that the engine stated that it did not begin the
+	// attempt.
+	ErrRefused = exchange.ErrRefused
+)
+
+// HTTP is an Engine reached over HTTP. Use NewHTTP. Its methods may be called
+// from any goroutine.
+type HTTP struct {
+	address netip.AddrPort
+	client  *exchange.Client
+	// doubled counts the chunks dropped because they had come before.
+	doubled atomic.Uint64
+}
+
+// NewHTTP returns the engine at an address. A nil client has the defaults.
+func NewHTTP(address netip.AddrPort, client *exchange.Client) *HTTP {
+	if client == nil {
+		client = exchange.New()
+	}
+	return &HTTP{address: address, client: client}
+}
+
+// Doubled returns how many chunks were dropped because they had come before.
+func (h *HTTP) Doubled() uint64 {
+	return h.doubled.Load()
+}
+
+// Export implements Engine.
+func (h *HTTP) Export(ctx context.Context, attempt string) (KV, error) {
+	var k KV
+	err := h.call(ctx, http.MethodPost, PathExport, exportRequest{Attempt: attempt}, &k)
+	return k, err
+}
+
+// Generate implements Engine. An answer that is cut is followed by the
+// question whether the engine still runs, which tells ErrCrashed from ErrCut.
+func (h *HTTP) Generate(ctx context.Context, r Request, emit func(Chunk) error) error {
+	a, err := h.send(ctx, http.MethodPost, PathGenerate, r)
+	if err != nil {
+		return h.explain(ctx, "", err)
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrProtocol, "status %d", a.StatusCode)
+	}
+	if a.Header.Get(AttemptHeader) != r.Attempt {
+		return errors.Wrap(ErrProtocol, "answer to another attempt")
+	}
+	err = h.stream(a.Body, r, emit)
+	return h.explain(ctx, a.Header.Get(BootHeader), err)
+}
+
+// Load implements Engine.
+func (h *HTTP) Load(ctx context.Context, o LoadOrder) error {
+	return h.call(ctx, http.MethodPost, PathLoad, o, nil)
+}
+
+// Status implements Engine.
+func (h *HTTP) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := h.call(ctx, http.MethodGet, PathStatus, nil, &s)
+	return s, err
+}
+
+func (h *HTTP) call(ctx context.Context, method, path string, in, out any) error {
+	a, err := h.send(ctx, method, path, in)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return errors.Wrapf(ErrProtocol, "status %d", a.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(a.Body).Decode(out); err != nil {
+		return errors.Wrap(ErrCut, err.Error())
+	}
+	return nil
+}
+
+// explain turns ErrCut into ErrCrashed when the run named boot is over.
+func (h *HTTP) explain(ctx context.Context, boot string, err error) error {
+	if !errors.Is(err, ErrCut) || ctx.Err() != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s, probe := h.Status(ctx)
+	if probe != nil || (boot != "" && s.Boot != boot) {
+		return &CrashError{Boot: boot, Cause: err}
+	}
+	return err
+}
+
+func (h *HTTP) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
+	u := url.URL{Scheme: "http", Host: h.address.String(), Path: path}
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrap(ErrNotSent, err.Error())
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, u.String(), body)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	r.Header.Set("Content-Type", "application/json")
+	return h.client.Do(r)
+}
+
+func (h *HTTP) stream(body io.Reader, r Request, emit func(Chunk) error) error {
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, readBuffer), lineLimit)
+	s.Split(wholeLines)
+	next := r.Offset
+	for s.Scan() {
+		if len(s.Bytes()) == 0 {
+			// Engines send empty lines while an attempt waits.
+			continue
+		}
+		c, fresh, err := check(s.Bytes(), r.Attempt, next)
+		if err != nil {
+			return err
+		}
+		if !fresh {
+			h.doubled.Add(1)
+			continue
+		}
+		next += c.Tokens
+		if err := emit(c); err != nil {
+			return err
+		}
+		if c.End {
+			return nil
+		}
+	}
+	if err := s.Err(); err != nil {
+		return errors.Wrap(ErrCut, err.Error())
+	}
+	return errors.Wrap(ErrCut, "end mark missing")
+}
+
+// exportRequest asks for the KV cache of an attempt.
+type exportRequest struct {
+	Attempt string
+}
+
+// check decodes one chunk and reports whether it is the one at next, or one
+// that came before.
+func check(line []byte, attempt string, next int) (Chunk, bool, error) {
+	var c Chunk
+	if err := json.Unmarshal(line, &c); err != nil {
+		return c, false, errors.Wrap(ErrProtocol, err.Error())
+	}
+	if c.Attempt != attempt {
+		return c, false, errors.Wrap(ErrProtocol, "chunk of another attempt")
+	}
+	if c.Tokens < 0 || c.Offset > next {
+		return c, false, errors.Wrapf(ErrProtocol, "offset %d, not %d", c.Offset, next)
+	}
+	if c.Offset == next {
+		return c, true, nil
+	}
+	if c.Offset+c.Tokens > next {
+		return c, false, errors.Wrapf(ErrProtocol, "chunk overlaps offset %d", next)
+	}
+	return c, false, nil
+}
+
+// wholeLines is a bufio.SplitFunc that leaves out an unfinished last line.
+func wholeLines(b []byte, _ bool) (int, []byte, error) {
+	i := bytes.IndexByte(b, '\n')
+	if i < 0 {
+		return 0, nil, nil
+	}
+	return i + 1, b[:i], nil
+}
--- /dev/null
+++ b/internal/caller/proxy/fixture_test.go
@@ -0,0 +1,338 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
+	"github.com/lacewingtally/lacewingtally/internal/backend/service"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/loop"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/caller/proxy"
+	"github.com/lacewingtally/lacewingtally/internal/control/claim"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	"github.com/lacewingtally/lacewingtally/internal/peer/suspect"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+	"github.com/lacewingtally/lacewingtally/internal/standin/link"
+	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
+)
+
+const (
+	key      = "key-of-bakers-5f1c"
+	otherKey = "key-of-caterers-77aa"
+)
+
+// source is a view.Source that tests change.
+type source struct {
+	mutex sync.Mutex
+	state *view.State
+	next  chan struct{}
+}
+
+func (s *source) State() *view.State {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state
+}
+
+func (s *source) change(f func(*view.State)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var n view.State
+	if s.state != nil {
+		n = *s.state
+	}
+	f(&n)
+	old := s.next
+	s.next = make(chan struct{})
+	n.Superseded = s.next
+	s.state = &n
+	if old != nil {
+		close(old)
+	}
+}
+
+// firstGate grants the first live server that is not excluded.
+type firstGate struct {
+	source  *source
+	mutex   sync.Mutex
+	grants  int
+	reports []gate.Report
+}
+
+func (g *firstGate) Acquire(_ context.Context, r gate.Request) (gate.Grant, error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+next:
+	for _, s := range g.source.State().Servers {
+		if s.Pool != r.Pool || s.State != fleet.StateLive {
+			continue
+		}
+		for _, x := range r.Exclude {
+			if x == s.ID {
+				continue next
+			}
+		}
+		g.grants++
+		return gate.Grant{ID: fmt.Sprint(g.grants), Server: s, NotAfter: time.Now().Add(time.Second), Request: r}, nil
+	}
+	return gate.Grant{}, refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(time.Second), nil)
+}
+
+func (g *firstGate) Release(_ gate.Grant, r gate.Report) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.reports = append(g.reports, r)
+}
+
+// balance is grants less releases.
+func (g *firstGate) balance() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.grants - len(g.reports)
+}
+
+// daemon is the traffic path of one daemon.
+type daemon struct {
+	address  netip.AddrPort
+	gate     *firstGate
+	running  *proxy.Running
+	suspects *suspect.Runtime
+}
+
+// fleetFixture is a few daemons, engines and services in one process.
+type fleetFixture struct {
+	t        *testing.T
+	ctx      context.Context
+	callers  link.Network
+	network  link.Network
+	peers    wire.Memory
+	table    table.Memory
+	source   *source
+	daemons  []*daemon
+	engines  []*standengine.Engine
+	services []*standservice.Service
+	wait     sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+type fixtureOptions struct {
+	daemons, engines, services int
+	engine                     []standengine.Option
+	fault                      func(to netip.AddrPort) link.Fault
+	tableFault                 func(commit bool, keys []table.Key) table.Fault
+}
+
+func address(net, i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(net), byte(i + 1)}), 80)
+}
+
+func newFixture(t *testing.T, o fixtureOptions) *fleetFixture {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &fleetFixture{t: t, ctx: ctx, stop: stop, source: &source{}}
+	f.network.Fault = o.fault
+	f.table.Fault = o.tableFault
+	var servers []fleet.Server
+	for i := range o.engines {
+		e := standengine.New(o.engine...)
+		f.engines = append(f.engines, e)
+		l := f.network.Listen(address(1, i))
+		f.goServe(func() error { return e.Serve(ctx, l) })
+		servers = append(servers, fleet.Server{
+			ID: fleet.ServerID(fmt.Sprintf("engine-%d", i)), Address: address(1, i),
+			Pool: "assistant", State: fleet.StateLive, Capacity: 64,
+		})
+	}
+	for i := range o.services {
+		s := &standservice.Service{}
+		f.services = append(f.services, s)
+		l := f.network.Listen(address(2, i))
+		f.goServe(func() error { return s.Serve(ctx, l) })
+		servers = append(servers, fleet.Server{
+			ID: fleet.ServerID(fmt.Sprintf("service-%d", i)), Address: address(2, i),
+			Pool: "bookings", State: fleet.StateLive, Capacity: 64,
+		})
+	}
+	f.source.change(func(s *view.State) {
+		s.Config = config.NewSnapshot(document())
+		s.ConfirmedUntil = time.Now().Add(time.Hour)
+		s.Servers = servers
+		for i := range max(o.daemons, 1) {
+			s.Members = append(s.Members, fleet.Member{ID: fleet.MemberID{Address: address(3, i)}})
+		}
+	})
+	for i := range max(o.daemons, 1) {
+		f.addDaemon(i)
+	}
+	return f
+}
+
+func document() config.Config {
+	return config.Config{
+		Revision:   1,
+		Workspaces: []config.Workspace{{Name: "bakers"}, {Name: "caterers"}},
+		Keys: []config.Key{
+			{Hash: config.HashKey(key), Workspace: "bakers"},
+			{Hash: config.HashKey(otherKey), Workspace: "caterers"},
+		},
+		Pools: []config.Pool{
+			{Name: "assistant", Protocol: config.ProtocolEngine},
+			{Name: "bookings", Protocol: config.ProtocolService},
+		},
+		Routes: []config.Route{
+			{Path: "/bookings", Pool: "bookings"},
+			{Path: "/prices", Pool: "bookings", Repeatable: true},
+			{Path: "/open", Pool: "bookings", Open: true, Repeatable: true},
+		},
+	}
+}
+
+func (f *fleetFixture) addDaemon(i int) {
+	d := &daemon{address: address(3, i), gate: &firstGate{source: f.source}, running: proxy.NewRunning(f.source)}
+	l := loop.New()
+	var mux wire.Mux
+	d.suspects = suspect.New(suspect.Options{
+		Caller: f.peers.Attach(d.address, &mux), Loop: l, Self: d.address, Source: f.source, Table: &f.table,
+	})
+	d.suspects.Handle(&mux)
+	claims := claim.NewStore(&f.table)
+	client := exchange.New(exchange.WithDial(f.network.Dial))
+	o := proxy.Options{
+		Claims:   claims,
+		Engines:  func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, client) },
+		Gate:     d.gate,
+		Services: service.NewHTTP(client),
+		Source:   f.source,
+		Suspects: d.suspects,
+	}
+	m := http.NewServeMux()
+	m.Handle(proxy.NewHTTPHandler(proxy.NewGenerationHandler(o, proxy.NewGenerator(o), d.running)))
+	m.Handle("/", proxy.NewPassThrough(o, d.running))
+	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	listener := f.callers.Listen(d.address)
+	f.goServe(func() error { return l.Serve(f.ctx) })
+	f.goServe(func() error { return claims.Serve(f.ctx) })
+	f.goServe(func() error { return d.running.Serve(f.ctx) })
+	f.goServe(func() error { return d.suspects.Serve(f.ctx) })
+	f.goServe(func() error { return s.Serve(listener) })
+	context.AfterFunc(f.ctx, func() { _ = s.Close() })
+	f.daemons = append(f.daemons, d)
+}
+
+func (f *fleetFixture) goServe(serve func() error) {
+	f.wait.Go(func() { _ = serve() })
+}
+
+// close ends the fixture and checks that no grant is left.
+func (f *fleetFixture) close() {
+	drain, cancel := context.WithTimeout(f.ctx, time.Minute)
+	defer cancel()
+	for _, d := range f.daemons {
+		must.NoError(f.t, d.running.Drain(drain))
+		must.Zero(f.t, d.gate.balance(), must.Sprint("grants not released"))
+	}
+	f.stop()
+	f.wait.Wait()
+}
+
+// client returns an HTTP client that reaches daemon i only.
+func (f *fleetFixture) client(i int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return f.callers.Dial(ctx, address(3, i))
+		},
+	}}
+}
+
+// generate asks daemon i for an answer of 20 tokens and returns what came.
+func (f *fleetFixture) generate(i int, k, prompt string, emit func(*callerv1.GenerateResponse)) (string, error) {
+	c := callerv1.NewGenerationServiceClient(f.client(i), "http://daemon")
+	r := connect.NewRequest(&callerv1.GenerateRequest{Pool: "assistant", Prompt: prompt, MaxTokens: 20, Seed: 7})
+	r.Header().Set("Authorization", "Bearer "+k)
+	s, err := c.Generate(f.ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = s.Close() }()
+	var text strings.Builder
+	next, end := 0, false
+	for s.Receive() {
+		m := s.Msg()
+		must.EqOp(f.t, next, int(m.Offset))
+		next += int(m.Tokens)
+		text.WriteString(m.Text)
+		end = m.End
+		if emit != nil {
+			emit(m)
+		}
+	}
+	if s.Err() == nil {
+		must.True(f.t, end, must.Sprint("whole answer without its end mark"))
+	}
+	return text.String(), s.Err()
+}
+
+// post sends a request to a service through daemon i.
+func (f *fleetFixture) post(i int, path, id, body string, header http.Header) (int, http.Header, string) {
+	r, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://daemon"+path, strings.NewReader(body))
+	must.NoError(f.t, err)
+	for k, v := range header {
+		r.Header[k] = v
+	}
+	if id != "" {
+		r.Header.Set("Request-Id", id)
+	}
+	if r.Header.Get("Authorization") == "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	a, err := f.client(i).Do(r)
+	must.NoError(f.t, err)
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	must.NoError(f.t, err)
+	return a.StatusCode, a.Header, string(b)
+}
+
+// runs is how often a request was begun, over all services.
+func (f *fleetFixture) runs(id string) int {
+	n := 0
+	for _, s := range f.services {
+		n += s.Runs(fleet.RequestID(id))
+	}
+	return n
+}
+
+// refusalOf returns the typed refusal in an error of connect.
+func refusalOf(t *testing.T, err error) *callerv1.Refusal {
+	var c *connect.Error
+	must.True(t, errors.As(err, &c), must.Sprintf("%v", err))
+	for _, d := range c.Details() {
+		v, err := d.Value()
+		must.NoError(t, err)
+		if r, ok := v.(*callerv1.Refusal); ok {
+			return r
+		}
+	}
+	t.Fatalf("no refusal in %v", err)
+	return nil
+}
--- /dev/null
+++ b/internal/caller/proxy/main_test.go
@@ -0,0 +1,11 @@
+package proxy_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- /dev/null
+++ b/internal/caller/proxy/placement.go
@@ -0,0 +1,229 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
+	"github.com/lacewingtally/lacewingtally/internal/base/clock"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/attempt"
+	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+)
+
+// placement runs one request over as many grants as it takes. It is used by
+// one goroutine.
+type placement struct {
+	// before, if set, is called with each grant before it is used. It reports
+	// whether the request is done without being sent.
+	before      func(ctx context.Context) (bool, error)
+	options     Options
+	fingerprint quarantine.Fingerprint
+	// request is what is asked of the gate; Exclude grows with each server
+	// that failed.
+	request gate.Request
+	run     attempt.Run
+}
+
+// send makes one attempt with a grant and returns how it ended, with the
+// number of tokens generated.
+type send func(ctx context.Context, g gate.Grant) (tokens int, err error)
+
+// do repeats s until it is whole or the request is refused. Its errors are
+// *refusal.Error.
+func (p *placement) do(ctx context.Context, s send) error {
+	for {
+		g, apart, err := p.acquire(ctx)
+		if err != nil {
+			return err
+		}
+		done, err := p.prepare(ctx)
+		if done || err != nil || !usable(p.options, time.Now(), g) {
+			p.release(ctx, g, apart, attempt.ResultStopped, 0)
+			if done || err != nil {
+				return err
+			}
+			continue
+		}
+		if !p.run.Begin() {
+			p.release(ctx, g, apart, attempt.ResultStopped, 0)
+			return p.run.Deny(refusal.ReasonServer, time.Time{}, nil)
+		}
+		p.options.record(p.event(timeline.RequestGranted, g.Server.ID))
+		tokens, err := s(ctx, g)
+		result := resultOf(ctx, err)
+		condemned := p.blame(ctx, g, apart, result, err)
+		p.release(ctx, g, apart, result, tokens)
+		d := p.run.End(time.Now(), result, err)
+		switch {
+		case d.Action == attempt.Deliver:
+			return nil
+		case condemned != nil:
+			return condemned
+		case d.Action == attempt.Refuse:
+			return p.final(ctx, d.Refusal)
+		}
+		if err := p.again(ctx, g, d.At); err != nil {
+			return err
+		}
+	}
+}
+
+// acquire waits for a grant that may be used now.
+func (p *placement) acquire(ctx context.Context) (gate.Grant, bool, error) {
+	for {
+		e := p.options.Suspects.Check(time.Now(), p.fingerprint)
+		if e.Standing == quarantine.Quarantined {
+			return gate.Grant{}, false, refusal.GaveUp(refusal.ReasonQuarantine, e.Until, nil)
+		}
+		suspect := e.Standing == quarantine.Suspect
+		r := p.request
+		if suspect {
+			r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], p.options.Suspects.Busy()...)
+		}
+		g, err := p.options.Gate.Acquire(ctx, r)
+		if err != nil {
+			return gate.Grant{}, false, p.denied(ctx, err)
+		}
+		apart := suspect && p.options.Suspects.Reserve(ctx, p.fingerprint, g.Server.ID)
+		if usable(p.options, time.Now(), g) && apart == suspect {
+			return g, apart, nil
+		}
+		p.release(ctx, g, apart, attempt.ResultStopped, 0)
+		if !sleep(ctx, time.Now().Add(reserveWait)) {
+			return gate.Grant{}, false, p.final(ctx, p.run.Deny(refusal.ReasonDeadline, time.Time{}, nil))
+		}
+	}
+}
+
+// again prepares the next attempt, at an instant.
+func (p *placement) again(ctx context.Context, g gate.Grant, at time.Time) error {
+	now := time.Now()
+	if !p.options.retry(now, p.request.Workspace) {
+		return p.run.Deny(refusal.ReasonRetryBudget, now.Add(returnAfter), nil)
+	}
+	p.request.Exclude = append(p.request.Exclude, g.Server.ID)
+	if !sleep(ctx, at) {
+		return p.final(ctx, p.run.Deny(refusal.ReasonDeadline, time.Time{}, nil))
+	}
+	return nil
+}
+
+// blame counts a crash against the request and returns its final answer when
+// that makes it quarantined.
+func (p *placement) blame(ctx context.Context, g gate.Grant, apart bool, r attempt.Result, err error) error {
+	if r != attempt.ResultCrashed {
+		return nil
+	}
+	c := quarantine.Crash{Server: g.Server.ID}
+	var e *engine.CrashError
+	if errors.As(err, &e) {
+		c.Boot = e.Boot
+	}
+	p.options.record(p.event(timeline.ServerCrashed, g.Server.ID))
+	if p.options.Suspects.Crashed(ctx, p.fingerprint, c, apart) != quarantine.Quarantined {
+		return nil
+	}
+	until := p.options.Suspects.Check(time.Now(), p.fingerprint).Until
+	return refusal.GaveUp(refusal.ReasonQuarantine, until, err)
+}
+
+// denied turns the gate's refusal into what is true of the whole request.
+func (p *placement) denied(ctx context.Context, err error) error {
+	var e *refusal.Error
+	if !errors.As(err, &e) {
+		e = refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(returnAfter), err)
+	}
+	return p.final(ctx, p.run.Deny(e.Reason, e.RetryAt, err))
+}
+
+func (p *placement) event(k timeline.Kind, s fleet.ServerID) timeline.Event {
+	return timeline.Event{Kind: k, Request: p.request.ID, Workspace: p.request.Workspace, Server: s}
+}
+
+// final gives a refusal the reason for which the context ended, if it did.
+func (p *placement) final(ctx context.Context, e *refusal.Error) error {
+	if ctx.Err() == nil {
+		return e
+	}
+	var cause *refusal.Error
+	if errors.As(context.Cause(ctx), &cause) {
+		return p.run.Deny(cause.Reason, cause.RetryAt, e)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return p.run.Deny(refusal.ReasonDeadline, time.Now().Add(returnAfter), e)
+	}
+	return p.run.Deny(refusal.ReasonCancelled, time.Time{}, e)
+}
+
+func (p *placement) prepare(ctx context.Context) (bool, error) {
+	if p.before == nil {
+		return false, nil
+	}
+	return p.before(ctx)
+}
+
+func (p *placement) release(ctx context.Context, g gate.Grant, apart bool, r attempt.Result, tokens int) {
+	p.options.Gate.Release(g, gate.Report{Outcome: outcomeOf(r), Tokens: tokens})
+	switch {
+	case !apart:
+	case r == attempt.ResultWhole:
+		p.options.Suspects.Absolve(ctx, p.fingerprint)
+	case r != attempt.ResultCrashed:
+		p.options.Suspects.Free(ctx, p.fingerprint)
+	}
+}
+
+// usable reports whether a grant may still be used: a server that has begun to
+// leave gets no new work, whoever granted it.
+func usable(o Options, now time.Time, g gate.Grant) bool {
+	if clock.Passed(now, g.NotAfter) {
+		return false
+	}
+	for _, s := range o.Source.State().Servers {
+		if s.ID == g.Server.ID {
+			return s.State == fleet.StateLive
+		}
+	}
+	return true
+}
+
+func outcomeOf(r attempt.Result) gate.Outcome {
+	switch r {
+	case attempt.ResultWhole:
+		return gate.Completed
+	case attempt.ResultCrashed:
+		return gate.Crashed
+	case attempt.ResultRefused:
+		return gate.Refused
+	case attempt.ResultNotSent:
+		return gate.Unreachable
+	default:
+		return gate.Stopped
+	}
+}
+
+func resultOf(ctx context.Context, err error) attempt.Result {
+	switch {
+	case err == nil:
+		return attempt.ResultWhole
+	case errors.Is(err, exchange.ErrNotSent):
+		return attempt.ResultNotSent
+	case errors.Is(err, exchange.ErrRefused):
+		return attempt.ResultRefused
+	case ctx.Err() != nil, errors.Is(err, errCaller):
+		return attempt.ResultStopped
+	case errors.Is(err, exchange.ErrCrashed):
+		return attempt.ResultCrashed
+	case errors.Is(err, exchange.ErrCut):
+		return attempt.ResultCut
+	default:
+		return attempt.ResultProtocol
+	}
+}
--- /dev/null
+++ b/internal/control/quarantine/fingerprint.go
@@ -0,0 +1,36 @@
+// Package quarantine decides which requests crash the backend servers that run
+// them, and keeps such requests from running again.
+package quarantine
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// Fingerprint identifies what a request asks for, over all its repeats and
+// callers within one workspace.
+type Fingerprint uint64
+
+// Of returns the fingerprint of a request with the given parts.
+func Of(w fleet.Workspace, parts ...string) Fingerprint {
+	var h xxhash.Digest
+	h.Reset()
+	add(&h, string(w))
+	for _, p := range parts {
+		add(&h, p)
+	}
+	return Fingerprint(h.Sum64())
+}
+
+// add puts the length before the text, so that no two lists of parts hash the
+// same bytes.
+func add(h *xxhash.Digest, s string) {
+	var n [8]byte
+	binary.LittleEndian.PutUint64(n[:], uint64(len(s)))
+	// A Digest's writes do not fail.
+	_, _ = h.Write(n[:])
+	_, _ = h.WriteString(s)
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,286 @@
+// Package engine is a small stand-in of a model engine: it generates text that
+// follows from the prompt, the seed and the offset alone, and fails on demand.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/standin/link"
+)
+
+const (
+	// defaultCapacity is how many attempts run at once.
+	defaultCapacity = 64
+	// defaultSwap is how long a swap of weights takes.
+	defaultSwap = 50 * time.Millisecond
+	// heartbeat is the time between empty lines while an attempt waits.
+	heartbeat = time.Second
+	// statusLag is the age of what the status says.
+	statusLag = 500 * time.Millisecond
+	// tapLimit bounds the received bytes that are kept.
+	tapLimit = 64 << 20
+)
+
+// Engine is a stand-in engine. Use New. Its methods may be called from any
+// goroutine.
+type Engine struct {
+	capacity int
+	fenced   bool
+	interval time.Duration
+	lag      time.Duration
+	swap     time.Duration
+	mux      *http.ServeMux
+	tap      link.Tap
+
+	mutex sync.Mutex
+	// boot counts the runs of the engine, from 1.
+	boot int
+	// crashed is closed when the current run ends.
+	crashed chan struct{}
+	// downUntil is when a crashed engine answers again.
+	downUntil time.Time
+	epoch     fleet.Epoch
+	faults    []Fault
+	orders    map[string]error
+	running   map[string]*attempt
+	runs      map[fleet.RequestID]int
+	// reported and reportedAt are the status that is shown until it is older
+	// than lag.
+	reported engine.Status
+	version  fleet.WeightVersion
+	waiting  int
+	// changed is closed and replaced when an attempt ends.
+	changed chan struct{}
+}
+
+// Option changes an Engine.
+type Option func(*Engine)
+
+type attempt struct {
+	request engine.Request
+	offset  int
+}
+
+// New returns an engine that runs version 1.
+func New(options ...Option) *Engine {
+	e := &Engine{
+		capacity: defaultCapacity,
+		lag:      statusLag,
+		swap:     defaultSwap,
+		boot:     1,
+		crashed:  make(chan struct{}),
+		changed:  make(chan struct{}),
+		orders:   make(map[string]error),
+		running:  make(map[string]*attempt),
+		runs:     make(map[fleet.RequestID]int),
+		version:  1,
+	}
+	e.tap.Limit = tapLimit
+	for _, o := range options {
+		o(e)
+	}
+	e.mux = http.NewServeMux()
+	e.mux.HandleFunc("POST "+engine.PathGenerate, e.generate)
+	e.mux.HandleFunc("POST "+engine.PathLoad, e.load)
+	e.mux.HandleFunc("POST "+engine.PathExport, e.export)
+	e.mux.HandleFunc("GET "+engine.PathStatus, e.status)
+	e.mux.HandleFunc("PUT /fault", e.putFaults)
+	e.mux.HandleFunc("GET /received", e.received)
+	e.mux.HandleFunc("GET /runs", e.getRuns)
+	return e
+}
+
+// WithCapacity runs n attempts at once.
+func WithCapacity(n int) Option {
+	return func(e *Engine) { e.capacity = n }
+}
+
+// WithFence refuses orders with an epoch older than the newest seen.
+func WithFence() Option {
+	return func(e *Engine) { e.fenced = true }
+}
+
+// WithStatusLag shows a status of up to age d.
+func WithStatusLag(d time.Duration) Option {
+	return func(e *Engine) { e.lag = d }
+}
+
+// WithTokensPerSecond sets the speed of each attempt; 0 is no limit.
+func WithTokensPerSecond(n float64) Option {
+	return func(e *Engine) {
+		if n > 0 {
+			e.interval = time.Duration(float64(time.Second) / n)
+		}
+	}
+}
+
+// WithVersion starts with weight version v.
+func WithVersion(v fleet.WeightVersion) Option {
+	return func(e *Engine) { e.version = v }
+}
+
+// Text returns the tokens from offset up to end of the answer to a prompt.
+func Text(prompt string, seed uint64, offset, end int) string {
+	var b []byte
+	base := xxhash.Sum64String(prompt) ^ seed
+	for i := offset; i < end; i++ {
+		b = append(b, token(base, i)...)
+	}
+	return string(b)
+}
+
+// Crash ends the run: every stream is cut, and nothing is answered for d.
+func (e *Engine) Crash(d time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.crash(d)
+}
+
+// Received returns every byte that the engine was sent through Serve.
+func (e *Engine) Received() []byte {
+	return e.tap.Bytes()
+}
+
+// Runs returns how often the engine began a request.
+func (e *Engine) Runs(id fleet.RequestID) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.runs[id]
+}
+
+// Serve answers on l until the context ends.
+func (e *Engine) Serve(ctx context.Context, l net.Listener) error {
+	s := http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(e.tap.Listener(l))
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "engine: serve")
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPut && e.down() {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults to come.
+func (e *Engine) SetFaults(faults ...Fault) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = slices.Clone(faults)
+}
+
+// Version returns the weight version that runs.
+func (e *Engine) Version() fleet.WeightVersion {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.version
+}
+
+func (e *Engine) bootName() string {
+	return strconv.Itoa(e.boot)
+}
+
+func (e *Engine) crash(d time.Duration) {
+	close(e.crashed)
+	e.crashed = make(chan struct{})
+	e.boot++
+	e.downUntil = time.Now().Add(d)
+	clear(e.running)
+	e.waiting = 0
+	e.reported = engine.Status{}
+}
+
+func (e *Engine) down() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Now().Before(e.downUntil)
+}
+
+func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
+	var in struct{ Attempt string }
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, "malformed", http.StatusBadRequest)
+		return
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	a := e.running[in.Attempt]
+	if a == nil {
+		http.Error(w, "no such attempt", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, engine.KV{Handle: "kv-" + in.Attempt, Offset: a.offset})
+}
+
+func (e *Engine) getRuns(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	writeJSON(w, e.runs)
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults []Fault
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(faults...)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) received(w http.ResponseWriter, _ *http.Request) {
+	// An error is the reader's own affair.
+	_, _ = w.Write(e.Received())
+}
+
+func (e *Engine) status(w http.ResponseWriter, _ *http.Request) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	now := time.Now()
+	if now.Sub(e.reported.At) >= e.lag {
+		e.reported = engine.Status{
+			Version: e.version,
+			Running: len(e.running),
+			Waiting: e.waiting,
+			KVUsed:  float64(len(e.running)) / float64(e.capacity),
+			At:      now,
+			Boot:    e.bootName(),
+		}
+	}
+	writeJSON(w, e.reported)
+}
+
+func token(base uint64, i int) string {
+	h := (base + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	return " " + strconv.FormatUint(h>>48, 36)
+}
+
+func refuse(w http.ResponseWriter, status int) {
+	w.Header().Set(exchange.NotRunHeader, "true")
+	http.Error(w, "not run", status)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error is the reader's own affair.
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/engine/generate.go
@@ -0,0 +1,227 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+)
+
+// errStopped ends a stream in the way its fault asks for.
+var errStopped = errors.New("engine: stream stopped")
+
+// stream is one attempt that runs.
+type stream struct {
+	base    uint64
+	crashed <-chan struct{}
+	encoder *json.Encoder
+	engine  *Engine
+	fault   Fault
+	flusher http.Flusher
+	request engine.Request
+	sent    int
+	writer  http.ResponseWriter
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var in engine.Request
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, "malformed", http.StatusBadRequest)
+		return
+	}
+	f := e.take(in.Prompt, false)
+	if f.Kind == FaultRefuse {
+		refuse(w, http.StatusServiceUnavailable)
+		return
+	}
+	s := &stream{
+		base:    xxhash.Sum64String(in.Prompt) ^ in.Seed,
+		encoder: json.NewEncoder(w),
+		engine:  e,
+		fault:   f,
+		flusher: w.(http.Flusher),
+		request: in,
+		writer:  w,
+	}
+	defer e.finish(in.Attempt)
+	s.head()
+	if err := s.begin(r.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if err := s.run(r.Context()); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) finish(attempt string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.running, attempt)
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// begin waits for a free place.
+func (s *stream) begin(ctx context.Context) error {
+	e := s.engine
+	t := time.NewTicker(heartbeat)
+	defer t.Stop()
+	for {
+		e.mutex.Lock()
+		s.crashed = e.crashed
+		if len(e.running) < e.capacity {
+			e.running[s.request.Attempt] = &attempt{request: s.request, offset: s.request.Offset}
+			e.runs[s.request.ID]++
+			e.mutex.Unlock()
+			return nil
+		}
+		changed := e.changed
+		e.mutex.Unlock()
+		select {
+		case <-changed:
+		case <-s.crashed:
+			return errStopped
+		case <-ctx.Done():
+			return errStopped
+		case <-t.C:
+			if _, err := s.writer.Write([]byte("\n")); err != nil {
+				return errStopped
+			}
+			s.flusher.Flush()
+		}
+	}
+}
+
+// chunk makes the chunk at an offset and keeps the offset for an export.
+func (s *stream) chunk(offset int) engine.Chunk {
+	e := s.engine
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if a := e.running[s.request.Attempt]; a != nil {
+		a.offset = offset + 1
+	}
+	c := engine.Chunk{
+		Attempt: s.request.Attempt,
+		Offset:  offset,
+		Text:    token(s.base, offset),
+		Tokens:  1,
+		Version: e.version,
+	}
+	if s.fault.Kind == FaultNoVersion {
+		c.Version = 0
+	}
+	return c
+}
+
+// fail does what the fault asks for before the next chunk.
+func (s *stream) fail(ctx context.Context) error {
+	if s.sent != s.fault.After {
+		return nil
+	}
+	switch s.fault.Kind {
+	case FaultCrash:
+		s.engine.Crash(time.Duration(s.fault.Down) * time.Millisecond)
+		return errStopped
+	case FaultCut, FaultError:
+		return errStopped
+	case FaultSilent:
+		select {
+		case <-ctx.Done():
+		case <-s.crashed:
+		}
+		return errStopped
+	}
+	return nil
+}
+
+func (s *stream) head() {
+	e := s.engine
+	e.mutex.Lock()
+	boot := e.bootName()
+	e.mutex.Unlock()
+	s.writer.Header().Set("Content-Type", "application/x-ndjson")
+	s.writer.Header().Set(engine.AttemptHeader, s.request.Attempt)
+	s.writer.Header().Set(engine.BootHeader, boot)
+	if s.fault.Kind == FaultError && s.fault.After == 0 {
+		s.writer.WriteHeader(http.StatusInternalServerError)
+	}
+	s.flusher.Flush()
+}
+
+func (s *stream) run(ctx context.Context) error {
+	for i := s.request.Offset; i < s.request.MaxTokens; i++ {
+		if err := s.wait(ctx); err != nil {
+			return err
+		}
+		if err := s.fail(ctx); err != nil {
+			return err
+		}
+		if err := s.send(s.chunk(i)); err != nil {
+			return err
+		}
+	}
+	if err := s.fail(ctx); err != nil {
+		return err
+	}
+	if s.fault.Kind == FaultNoEnd {
+		return nil
+	}
+	return s.write(engine.Chunk{
+		Attempt: s.request.Attempt,
+		Offset:  max(s.request.MaxTokens, s.request.Offset),
+		Version: s.engine.Version(),
+		End:     true,
+	})
+}
+
+func (s *stream) send(c engine.Chunk) error {
+	at := s.sent == s.fault.After
+	s.sent++
+	switch {
+	case at && s.fault.Kind == FaultSkip:
+		return nil
+	case at && s.fault.Kind == FaultCrossed:
+		c.Attempt = "another"
+	case at && s.fault.Kind == FaultDoubled:
+		if err := s.write(c); err != nil {
+			return err
+		}
+	}
+	return s.write(c)
+}
+
+func (s *stream) wait(ctx context.Context) error {
+	select {
+	case <-s.crashed:
+		return errStopped
+	case <-ctx.Done():
+		return errStopped
+	default:
+	}
+	if s.engine.interval == 0 {
+		return nil
+	}
+	t := time.NewTimer(s.engine.interval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-s.crashed:
+		return errStopped
+	case <-ctx.Done():
+		return errStopped
+	}
+}
+
+func (s *stream) write(c engine.Chunk) error {
+	if err := s.encoder.Encode(c); err != nil {
+		return errStopped
+	}
+	s.flusher.Flush()
+	return nil
+}
