--- a/cmd/lacewingtally/main.go
+++ b/cmd/lacewingtally/main.go
@@ -8,11 +8,13 @@
 	"syscall"
 
 	"github.com/lacewingtally/lacewingtally/internal/daemon/command"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/daemon"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := command.Run(ctx, command.Options{
+		Serve:  daemon.Run,
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 	}, os.Args[1:])
