Add the program of the stand-ins

Cause: the demo and the end-to-end tests need the systems around the fleet as separate processes. Conclusion: each subcommand starts what the lanes' packages offer.

--- /dev/null
+++ b/cmd/standin/request.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+)
+
+const (
+	// pollInterval is the time between two tries of a wait.
+	pollInterval = 50 * time.Millisecond
+	// requestTimeout bounds one request.
+	requestTimeout = 5 * time.Second
+)
+
+func addRequest(ctx context.Context, a *kingpin.Application) {
+	c := a.Command("request", "Send one HTTP request to a stand-in and print the answer, so that scripts need no other program.")
+	method := c.Arg("method", "HTTP method.").Required().String()
+	url := c.Arg("url", "URL.").Required().String()
+	body := c.Arg("body", "Body.").String()
+	c.Action(func(*kingpin.ParseContext) error {
+		status, text, err := request(ctx, *method, *url, *body)
+		if err != nil {
+			return err
+		}
+		if _, err := os.Stdout.WriteString(text); err != nil {
+			return errors.Wrap(err, "request")
+		}
+		if status >= http.StatusBadRequest {
+			return errors.Errorf("request: status %d", status)
+		}
+		return nil
+	})
+}
+
+func addWait(ctx context.Context, a *kingpin.Application) {
+	c := a.Command("wait", "Wait until each URL answers with status 200 and, if given, a text.")
+	tries := c.Flag("tries", "Most tries of one URL.").Default("400").Int()
+	text := c.Flag("text", "Text that the answer must hold.").String()
+	urls := c.Arg("url", "URLs.").Required().Strings()
+	c.Action(func(*kingpin.ParseContext) error {
+		for _, u := range *urls {
+			if err := wait(ctx, u, *text, *tries); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func request(ctx context.Context, method, url, body string) (int, string, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, "", errors.Wrap(err, "request")
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", errors.Wrap(err, "request")
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), errors.Wrap(err, "request")
+}
+
+func wait(ctx context.Context, url, text string, tries int) error {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for range tries {
+		status, answer, err := request(ctx, http.MethodGet, url, "")
+		if err == nil && status == http.StatusOK && strings.Contains(answer, text) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return errors.Errorf("wait: %s did not answer as expected", url)
+}
--- /dev/null
+++ b/cmd/standin/trainer.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/platform/weights"
+	"github.com/lacewingtally/lacewingtally/internal/standin/trainer"
+)
+
+func addTrainer(ctx context.Context, a *kingpin.Application) {
+	c := a.Command("trainer", "Run a trainer for some steps.")
+	o := trainer.Options{Output: os.Stdout}
+	servers := c.Flag("server", "Address of a daemon; may be given more than once.").Required().Strings()
+	keyFile := c.Flag("key-file", "File with the key.").Required().String()
+	store := c.Flag("weights", "Address of the weight store, to publish a version a step.").String()
+	first := c.Flag("first", "Weight version at the start.").Default("1").Uint64()
+	c.Flag("name", "Name of the trainer.").Default("trainer").StringVar(&o.Name)
+	c.Flag("pool", "Pool of model engines.").Required().StringVar((*string)(&o.Pool))
+	c.Flag("steps", "Number of steps.").Default("1").IntVar(&o.Steps)
+	c.Flag("groups", "Groups in a batch.").Default("2").IntVar(&o.Groups)
+	c.Flag("spare", "Groups submitted beyond a batch.").Default("0").IntVar(&o.Spare)
+	c.Flag("samples", "Samples in a group.").Default("4").IntVar(&o.Samples)
+	c.Flag("max-tokens", "Most tokens of a sample.").Default("32").IntVar(&o.MaxTokens)
+	c.Action(func(*kingpin.ParseContext) error {
+		k, err := os.ReadFile(*keyFile)
+		if err != nil {
+			return errors.Wrap(err, "trainer")
+		}
+		o.Key = strings.TrimSpace(string(k))
+		o.First = fleet.WeightVersion(*first)
+		for _, s := range *servers {
+			p, err := netip.ParseAddrPort(s)
+			if err != nil {
+				return errors.Wrap(err, "trainer")
+			}
+			o.Servers = append(o.Servers, p)
+		}
+		if *store == "" {
+			return trainer.Run(ctx, o)
+		}
+		p, err := netip.ParseAddrPort(*store)
+		if err != nil {
+			return errors.Wrap(err, "trainer")
+		}
+		w := weights.NewHTTP(p)
+		defer w.Close()
+		o.Weights = w
+		return trainer.Run(ctx, o)
+	})
+}
