Show the fleet's status from every daemon's own part; pass the demo

Cause: the demo failed twice. First, no daemon got ready, since readiness asked for a configuration that only an operator at a ready daemon can write. Second, the status page showed weight version 0 for each engine, since only the dispatcher of a cell asks its engines. Before: the demo stopped at the first wait, then at the weights' wait. Errors in the log are their text only, without stack traces and paths.

--- /dev/null
+++ b/internal/control/cell/use.go
@@ -0,0 +1,40 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+)
+
+// Use is what a workspace does in a cell.
+type Use struct {
+	Workspace fleet.Workspace
+	Running   int
+	Waiting   int
+}
+
+// Use returns what each workspace does, in the order of their names.
+func (c *Cell) Use() []Use {
+	counts := make(map[fleet.Workspace]*Use)
+	of := func(w fleet.Workspace) *Use {
+		if counts[w] == nil {
+			counts[w] = &Use{Workspace: w}
+		}
+		return counts[w]
+	}
+	for _, g := range c.grants {
+		of(g.ask.Request.Workspace).Running++
+	}
+	for _, it := range c.asks {
+		if it.grant == nil {
+			of(it.ask.Request.Workspace).Waiting++
+		}
+	}
+	uses := make([]Use, 0, len(counts))
+	for _, u := range counts {
+		uses = append(uses, *u)
+	}
+	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return uses
+}
--- a/internal/daemon/daemon/parts.go
+++ b/internal/daemon/daemon/parts.go
@@ -38,6 +38,9 @@
 // that may not be repeated are its largest user.
 const tableCalls = 100
 
+// duties names the duties in the order of parts.keepers.
+var duties = []fleet.Duty{lease.Usage, lease.Weights, lease.Orders}
+
 // parts are the parts of one daemon. All are set.
 type parts struct {
 	log       *zap.Logger
@@ -99,6 +102,7 @@
 	p.addView()
 	p.addTraffic()
 	p.addDuties()
+	statusSource{parts: p}.Handle(p.mux)
 	return p, nil
 }
 
--- a/internal/daemon/daemon/sample.go
+++ b/internal/daemon/daemon/sample.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/control/lease"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/telemetry"
 )
 
@@ -42,7 +41,6 @@
 }
 
 func (s *sampler) held(now time.Time) map[fleet.Duty]bool {
-	duties := []fleet.Duty{lease.Usage, lease.Weights, lease.Orders}
 	held := make(map[fleet.Duty]bool, len(duties))
 	for i, k := range s.parts.keepers {
 		_, _, err := k.Check(now)
@@ -55,7 +53,7 @@
 	now := time.Now()
 	state := s.parts.member.State()
 	confirmed := state.Confirmed(now)
-	s.parts.readiness.Set(confirmed && state.Config.Config.Revision > 0)
+	s.parts.readiness.Set(confirmed)
 	s.parts.metrics.Sample(telemetry.Sample{
 		Confirmed: confirmed,
 		Ready:     s.parts.readiness.Ready(),
--- a/internal/daemon/daemon/servers.go
+++ b/internal/daemon/daemon/servers.go
@@ -140,11 +140,15 @@
 	}
 }
 
-// reported returns the newest report of an engine, zero when there is none.
-func (t *serverTracker) reported(id fleet.ServerID) engine.Status {
+// reports returns the newest reports of the engines that this daemon asks.
+func (t *serverTracker) reports() []engineLoad {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.status[id]
+	loads := make([]engineLoad, 0, len(t.status))
+	for id, v := range t.status {
+		loads = append(loads, engineLoad{Server: id, Status: v})
+	}
+	return loads
 }
 
 func drained(c *config.Snapshot) []fleet.FailureDomain {
--- a/internal/daemon/telemetry/logger.go
+++ b/internal/daemon/telemetry/logger.go
@@ -22,7 +22,43 @@
 	c := zap.NewProductionEncoderConfig()
 	c.TimeKey, c.LevelKey, c.MessageKey = "At", "Level", "Message"
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)), nil
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(plainErrors{Core: core}), nil
+}
+
+// plainErrors writes the text of errors without their stack traces, under the
+// field name Error.
+type plainErrors struct {
+	zapcore.Core
+}
+
+// Check implements zapcore.Core.
+func (p plainErrors) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if p.Enabled(e.Level) {
+		return c.AddCore(e, p)
+	}
+	return c
+}
+
+// With implements zapcore.Core.
+func (p plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{Core: p.Core.With(plain(fields))}
+}
+
+// Write implements zapcore.Core.
+func (p plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return p.Core.Write(e, plain(fields))
+}
+
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String("Error", err.Error())
+		}
+		out = append(out, f)
+	}
+	return out
 }
 
 // Epoch is the log field of a lease's epoch.
--- a/internal/peer/grant/dispatcher.go
+++ b/internal/peer/grant/dispatcher.go
@@ -84,6 +84,18 @@
 	return g.Wait()
 }
 
+// Use returns what the workspaces do in the cells that this daemon dispatches
+// for. A workspace is named once for each cell.
+func (d *Dispatcher) Use(ctx context.Context) ([]cell.Use, error) {
+	return run(ctx, d.loop, func(time.Time) []cell.Use {
+		var uses []cell.Use
+		for _, h := range d.host.cells {
+			uses = append(uses, h.cell.Use()...)
+		}
+		return uses
+	})
+}
+
 func (d *Dispatcher) ask(ctx context.Context, m askMessage) (askAnswer, error) {
 	arrived := time.Now()
 	d.servers.Leave(arrived, m.Leaving...)
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -30,6 +30,7 @@
 	KindEvents   Kind = 7
 	KindDemand   Kind = 8
 	KindView     Kind = 9
+	KindStatus   Kind = 10
 )
 
 // Caller calls peers. Its method may be called from any goroutine.
