--- /dev/null
+++ b/internal/daemon/endtoend/caller_test.go
@@ -0,0 +1,120 @@
+package endtoend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/standin/engine"
+)
+
+// errNotWhole says that a stream ended without its end mark.
+var errNotWhole = errors.New("no end mark")
+
+// plainAnswer is the answer to a plain request.
+type plainAnswer struct {
+	status int
+	body   string
+	// refusal is the kind of a refusal, empty for an answer.
+	refusal string
+	err     error
+}
+
+// text is what was received of a generated answer.
+type text struct {
+	text     string
+	tokens   uint32
+	versions []uint64
+}
+
+// generate receives an answer through daemon i. seen, if not nil, is called
+// after each chunk.
+func (c *cluster) generate(i int, key string, m *callerv1.GenerateRequest, seen func(text)) (text, error) {
+	return c.generateWith(c.t.Context(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, i, key, m, seen)
+}
+
+func (c *cluster) generateWith(ctx context.Context, h *http.Client, i int, key string, m *callerv1.GenerateRequest, seen func(text)) (text, error) {
+	w := text{text: m.GetPartial(), tokens: m.GetOffset()}
+	g := callerv1.NewGenerationServiceClient(h, "http://"+c.daemons[i].settings.Listen.Callers.String())
+	r := connect.NewRequest(m)
+	r.Header().Set("Authorization", "Bearer "+key)
+	s, err := g.Generate(ctx, r)
+	if err != nil {
+		return w, err
+	}
+	defer func() { _ = s.Close() }()
+	end := false
+	for s.Receive() {
+		x := s.Msg()
+		if x.GetOffset() != w.tokens {
+			return w, errors.New("chunk at the wrong offset")
+		}
+		w.text += x.GetText()
+		w.tokens += x.GetTokens()
+		end = x.GetEnd()
+		if n := len(w.versions); n == 0 || w.versions[n-1] != x.GetWeightVersion() {
+			w.versions = append(w.versions, x.GetWeightVersion())
+		}
+		if seen != nil {
+			seen(w)
+		}
+	}
+	if s.Err() == nil && !end {
+		return w, errNotWhole
+	}
+	return w, s.Err()
+}
+
+// plain sends one request to the plain service through daemon i, on a
+// connection of its own.
+func (c *cluster) plain(i int, key, path, id, body string) plainAnswer {
+	return c.plainWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, i, key, path, id, body)
+}
+
+func (c *cluster) plainWith(h *http.Client, i int, key, path, id, body string) plainAnswer {
+	r, err := http.NewRequestWithContext(c.t.Context(), http.MethodPost,
+		"http://"+c.daemons[i].settings.Listen.Callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		return plainAnswer{err: err}
+	}
+	r.GetBody = nil
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	if id != "" {
+		r.Header.Set("Request-Id", id)
+	}
+	a, err := h.Do(r)
+	if err != nil {
+		return plainAnswer{err: err}
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return plainAnswer{status: a.StatusCode, body: string(b), refusal: a.Header.Get("Refusal-Kind"), err: err}
+}
+
+// expected returns the whole answer that the engines generate.
+func expected(m *callerv1.GenerateRequest) string {
+	return engine.Text(m.GetPrompt(), m.GetSeed(), 0, int(m.GetMaxTokens()))
+}
+
+// reasonOf returns the reason of a refusal, empty for other errors.
+func reasonOf(err error) string {
+	var c *connect.Error
+	if !errors.As(err, &c) {
+		return ""
+	}
+	for _, d := range c.Details() {
+		if v, err := d.Value(); err == nil {
+			if r, ok := v.(*callerv1.Refusal); ok {
+				return r.GetReason()
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/daemon/endtoend/process_test.go
@@ -0,0 +1,163 @@
+package endtoend
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+)
+
+const (
+	// pollInterval is the time between two looks at a condition.
+	pollInterval = 20 * time.Millisecond
+	// pollLimit bounds the wait for a condition.
+	pollLimit = 45 * time.Second
+	// requestLimit bounds one small request.
+	requestLimit = 5 * time.Second
+)
+
+// programs is the directory of the programs under test.
+var programs string
+
+// process is a running program.
+type process struct {
+	command *exec.Cmd
+	name    string
+	// ended is closed when the process has ended and err is set.
+	ended  chan struct{}
+	err    error
+	output *buffer
+}
+
+// buffer keeps what a process writes.
+type buffer struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.String()
+}
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	d, err := os.MkdirTemp("", "endtoend")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(d) }()
+	programs = d
+	c := exec.Command("go", "build", raceFlag, "-o", d+string(filepath.Separator), "./cmd/lacewingtally", "./cmd/standin")
+	c.Dir = filepath.Join("..", "..", "..")
+	if out, err := c.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	code := m.Run()
+	http.DefaultClient.CloseIdleConnections()
+	if err := goleak.Find(); code == 0 && err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return code
+}
+
+// start runs a program until the test ends.
+func start(t *testing.T, name, program string, arguments ...string) *process {
+	t.Helper()
+	p := &process{
+		command: exec.Command(filepath.Join(programs, program), arguments...),
+		name:    name,
+		ended:   make(chan struct{}),
+		output:  &buffer{},
+	}
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	p.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 atexit_sleep_ms=0")
+	// No process outlives the test's own, not even when that is killed.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must.NoError(t, p.command.Start())
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if t.Failed() {
+			t.Logf("output of %s:\n%s", name, last(p.output.String()))
+		}
+		must.StrNotContains(t, p.output.String(), "WARNING: DATA RACE", must.Sprint(name))
+		must.StrNotContains(t, p.output.String(), "panic: ", must.Sprint(name))
+	})
+	return p
+}
+
+// freeze stops the process as a hypervisor stops a VM.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+// kill ends the process without a chance to clean up.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.ended:
+	default:
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// terminate asks the process to end and waits until it has, with code 0.
+func (p *process) terminate(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		must.NoError(t, p.err, must.Sprintf("%s:\n%s", p.name, last(p.output.String())))
+	case <-time.After(pollLimit):
+		t.Fatalf("%s does not end:\n%s", p.name, last(p.output.String()))
+	}
+}
+
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	k := time.NewTicker(pollInterval)
+	defer k.Stop()
+	for limit := time.Now().Add(pollLimit); time.Now().Before(limit); <-k.C {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("it did not come to this: %s", what)
+}
+
+func last(s string) string {
+	const shown = 4000
+	return s[max(0, len(s)-shown):]
+}
--- a/internal/daemon/telemetry/logger.go
+++ b/internal/daemon/telemetry/logger.go
@@ -10,6 +10,9 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 )
 
+// errorKey is the name of the field with an error's text.
+const errorKey = "Error"
+
 // ErrLevel says that a log level is unknown.
 var ErrLevel = errors.New("telemetry: unknown log level")
 
@@ -22,7 +25,31 @@
 	c := zap.NewProductionEncoderConfig()
 	c.TimeKey, c.LevelKey, c.MessageKey = "At", "Level", "Message"
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)), nil
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)
+	return zap.New(&plainCore{Core: core}), nil
+}
+
+// plainCore writes the texts of errors without the stacks that they carry.
+type plainCore struct {
+	zapcore.Core
+}
+
+// Check implements zapcore.Core.
+func (p *plainCore) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if p.Enabled(e.Level) {
+		return c.AddCore(e, p)
+	}
+	return c
+}
+
+// With implements zapcore.Core.
+func (p *plainCore) With(fields []zapcore.Field) zapcore.Core {
+	return &plainCore{Core: p.Core.With(plain(fields))}
+}
+
+// Write implements zapcore.Core.
+func (p *plainCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return p.Core.Write(e, plain(fields))
 }
 
 // Epoch is the log field of a lease's epoch.
@@ -39,3 +66,15 @@
 func Workspace(w fleet.Workspace) zap.Field {
 	return zap.String("Workspace", string(w))
 }
+
+// plain returns fields with the texts of errors in place of the errors.
+func plain(fields []zapcore.Field) []zapcore.Field {
+	texts := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String(errorKey, err.Error())
+		}
+		texts = append(texts, f)
+	}
+	return texts
+}
--- a/internal/daemon/telemetry/telemetry_test.go
+++ b/internal/daemon/telemetry/telemetry_test.go
@@ -85,6 +85,8 @@
 	l.Info("shown", Request("r"), Workspace("w"), Epoch(3), zap.Error(refusal.ErrNotRun))
 	must.Eq(t, 1, strings.Count(b.String(), "\n"))
 	must.StrContains(t, b.String(), `"Request":"r","Workspace":"w","Epoch":3`)
+	must.StrContains(t, b.String(), `"Error":"not run"`)
+	must.StrNotContains(t, b.String(), "errorVerbose")
 	_, err = NewLogger(&b, "loud")
 	must.ErrorIs(t, err, ErrLevel)
 }
