--- a/internal/daemon/telemetry/logger.go
+++ b/internal/daemon/telemetry/logger.go
@@ -10,9 +10,6 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 )
 
-// errorKey is the name of the field with an error's text.
-const errorKey = "Error"
-
 // ErrLevel says that a log level is unknown.
 var ErrLevel = errors.New("telemetry: unknown log level")
 
@@ -26,16 +23,17 @@
 	c.TimeKey, c.LevelKey, c.MessageKey = "At", "Level", "Message"
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), zapcore.Lock(zapcore.AddSync(w)), l)
-	return zap.New(&plainCore{Core: core}), nil
+	return zap.New(plainErrors{Core: core}), nil
 }
 
-// plainCore writes the texts of errors without the stacks that they carry.
-type plainCore struct {
+// plainErrors writes the text of errors without their stack traces, under the
+// field name Error.
+type plainErrors struct {
 	zapcore.Core
 }
 
 // Check implements zapcore.Core.
-func (p *plainCore) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+func (p plainErrors) Check(e zapcore.Entry, c *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if p.Enabled(e.Level) {
 		return c.AddCore(e, p)
 	}
@@ -43,15 +41,26 @@
 }
 
 // With implements zapcore.Core.
-func (p *plainCore) With(fields []zapcore.Field) zapcore.Core {
-	return &plainCore{Core: p.Core.With(plain(fields))}
+func (p plainErrors) With(fields []zapcore.Field) zapcore.Core {
+	return plainErrors{Core: p.Core.With(plain(fields))}
 }
 
 // Write implements zapcore.Core.
-func (p *plainCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+func (p plainErrors) Write(e zapcore.Entry, fields []zapcore.Field) error {
 	return p.Core.Write(e, plain(fields))
 }
 
+func plain(fields []zapcore.Field) []zapcore.Field {
+	out := make([]zapcore.Field, 0, len(fields))
+	for _, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			f = zap.String("Error", err.Error())
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
 // Epoch is the log field of a lease's epoch.
 func Epoch(e fleet.Epoch) zap.Field {
 	return zap.Uint64("Epoch", uint64(e))
@@ -66,15 +75,3 @@
 func Workspace(w fleet.Workspace) zap.Field {
 	return zap.String("Workspace", string(w))
 }
-
-// plain returns fields with the texts of errors in place of the errors.
-func plain(fields []zapcore.Field) []zapcore.Field {
-	texts := make([]zapcore.Field, 0, len(fields))
-	for _, f := range fields {
-		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
-			f = zap.String(errorKey, err.Error())
-		}
-		texts = append(texts, f)
-	}
-	return texts
-}
