Count only the class at hand in the share order

Cause: a workspace that also trains had its samples counted against its live requests, and became the worst served.

--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -205,7 +205,7 @@
 		c.servers.liveOnSpot[g.server.server.FailureDomain]--
 	}
 	t := c.tenant(g.ask.Request.Workspace)
-	t.running--
+	t.running[classOf(g.ask.Request.Class)]--
 	c.dropTenant(t)
 }
 
@@ -266,7 +266,7 @@
 	if g.onSpot {
 		c.servers.liveOnSpot[g.server.server.FailureDomain]++
 	}
-	c.tenant(g.ask.Request.Workspace).running++
+	c.tenant(g.ask.Request.Workspace).running[classOf(g.ask.Request.Class)]++
 }
 
 func (c *Cell) refuse(now time.Time, a Ask, r refusal.Reason, retryAt time.Time) {
--- a/internal/control/cell/policy.go
+++ b/internal/control/cell/policy.go
@@ -7,7 +7,7 @@
 	Key K
 	// Since is when the oldest of its waiting requests arrived.
 	Since time.Time
-	// Running is the number of its requests that run.
+	// Running is the number of its requests of the class at hand that run.
 	Running float64
 	// Alone is how many it could run if it had the cell alone, at least 1.
 	Alone float64
--- a/internal/control/cell/queue.go
+++ b/internal/control/cell/queue.go
@@ -75,7 +75,8 @@
 type tenant struct {
 	workspace fleet.Workspace
 	weight    float64
-	running   int
+	// running counts its grants, a class.
+	running [classes]int
 	// queues are by class, and by whether a spot server may run the request.
 	queues [classes][2]queue
 	// index is the place in the cell's list of a class, -1 when not in it.
@@ -122,7 +123,7 @@
 }
 
 func (c *Cell) dropTenant(t *tenant) {
-	if t.running == 0 && t.waiting() == 0 && len(c.tenants) > maxIdleTenants {
+	if t.running == [classes]int{} && t.waiting() == 0 && len(c.tenants) > maxIdleTenants {
 		delete(c.tenants, t.workspace)
 	}
 }
--- a/internal/control/cell/schedule.go
+++ b/internal/control/cell/schedule.go
@@ -67,7 +67,7 @@
 		c.scratch = append(c.scratch, Candidate[fleet.Workspace]{
 			Key:     t.workspace,
 			Since:   t.oldest(class),
-			Running: float64(t.running),
+			Running: float64(t.running[class]),
 			Alone:   float64(max(c.servers.alone(t.spotAllowed), 1)),
 			Weight:  t.weight,
 		})
