--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,6 +27,7 @@
 func run(ctx context.Context, args []string) error {
 	a := kingpin.New(program, "Stand-ins of the platform, of model engines, plain services and trainers.")
 	addEngine(ctx, a)
+	addLoad(ctx, a)
 	addPlatform(ctx, a)
 	addRequest(ctx, a)
 	addService(ctx, a)
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,47 @@
+package load_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/engine"
+	"github.com/lacewingtally/lacewingtally/internal/standin/load"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func TestRunCountsWholeAndRefusedAnswers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- engine.New(engine.WithTokensPerSecond(10000)).Serve(ctx, l) }()
+	o := load.Options{
+		Servers:   []netip.AddrPort{netip.MustParseAddrPort(l.Addr().String())},
+		Direct:    true,
+		MaxTokens: 5,
+		Rate:      1000,
+		Count:     4,
+	}
+	r, err := load.Run(ctx, o)
+	must.NoError(t, err)
+	must.Eq(t, 4, r.Answered)
+	must.Eq(t, 20, r.Tokens)
+	cancel()
+	must.NoError(t, <-done)
+	r, err = load.Run(context.Background(), o)
+	must.NoError(t, err)
+	must.Eq(t, 4, r.Refused)
+}
+
+func TestRunRefusesANonsenseLoad(t *testing.T) {
+	_, err := load.Run(context.Background(), load.Options{})
+	must.ErrorIs(t, err, load.ErrOptions)
+}
