--- a/internal/control/cell/schedule.go
+++ b/internal/control/cell/schedule.go
@@ -111,7 +111,7 @@
 
 func (c *Cell) policy() Policy[fleet.Workspace] {
 	if c.Policy == nil {
-		c.Policy = Share[fleet.Workspace]{}
+		c.Policy = &RoundRobin[fleet.Workspace]{}
 	}
 	return c.Policy
 }
--- a/internal/model/experiment/variant.go
+++ b/internal/model/experiment/variant.go
@@ -75,16 +75,16 @@
 func Variants() []Variant {
 	ours := Variant{
 		Name:       "lacewingtally",
-		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return cell.Share[fleet.Workspace]{} }),
+		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return &cell.RoundRobin[fleet.Workspace]{} }),
 		Bounded:    true,
 		Notices:    true,
 		Resume:     true,
 		Spot:       true,
 		Straggling: Handled{},
 	}
-	turns := ours
-	turns.Name = "weighted round robin"
-	turns.Admission = ourCell(func() cell.Policy[fleet.Workspace] { return &cell.RoundRobin[fleet.Workspace]{} })
+	share := ours
+	share.Name = "order by task share"
+	share.Admission = ourCell(func() cell.Policy[fleet.Workspace] { return cell.Share[fleet.Workspace]{} })
 	demand := ours
 	demand.Name = "on-demand only"
 	demand.Spot = false
@@ -102,7 +102,7 @@
 	two.Name = "two random choices"
 	two.Admission = func(seed uint64) Admission { return newScattered(seed) }
 	two.OneClass = false
-	return []Variant{ours, turns, fifo, two, demand, late}
+	return []Variant{ours, share, fifo, two, demand, late}
 }
 
 func fifoCell(uint64) Admission {
