Keep more standard slots free of training while live requests come

Cause: a live request waited for a sample to end when training had filled the standard servers down to a tenth.

--- a/internal/control/cell/settings.go
+++ b/internal/control/cell/settings.go
@@ -32,7 +32,7 @@
 
 // Standard returns the settings that daemons use.
 func Standard() Settings {
-	return Settings{LiveReserve: 0.1, TrainingFloor: 0.2}
+	return Settings{LiveReserve: 0.3, TrainingFloor: 0.2}
 }
 
 // classLoad counts what runs, a class.
