Order the workspaces by what they run, in proportion to their weights

The traces now allow spot servers by workspace instead of by a draw for each request, as routes do, so that task share has different denominators.

--- a/internal/control/cell/admission.go
+++ b/internal/control/cell/admission.go
@@ -46,7 +46,7 @@
 	if t.weight <= 0 {
 		t.weight = 1
 	}
-	t.spotAllowed = a.Request.SpotAllowed
+	t.spotAllowed[classOf(a.Request.Class)] = a.Request.SpotAllowed
 	wait := c.expectedWait(t, a.Request.Class)
 	switch {
 	case clock.Passed(now, a.Request.Deadline):
--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -27,12 +27,12 @@
 )
 
 // Cell is the decision value of one cell. The zero value has no server; it
-// grants by the RoundRobin policy. Its methods are called by one goroutine. The
+// grants by the MaxMin policy. Its methods are called by one goroutine. The
 // decisions that a method returns are valid until the next call.
 type Cell struct {
 	// Prefix begins the IDs of the grants; it differs between dispatchers.
 	Prefix string
-	// Policy orders the workspaces of one class; nil is RoundRobin.
+	// Policy orders the workspaces of one class; nil is MaxMin.
 	Policy Policy[fleet.Workspace]
 	// Settings are the floors and reserves.
 	Settings Settings
--- a/internal/control/cell/policy.go
+++ b/internal/control/cell/policy.go
@@ -88,26 +88,40 @@
 	}
 }
 
+// MaxMin serves the key that runs the fewest requests for its weight. The zero
+// value is ready.
+type MaxMin[K comparable] struct{}
+
+// Next implements Policy.
+func (MaxMin[K]) Next(_ time.Time, waiting []Candidate[K]) int {
+	return least(waiting, func(c *Candidate[K]) float64 { return c.Running / c.Weight })
+}
+
+// Started implements Policy.
+func (MaxMin[K]) Started(time.Time, Candidate[K], float64) {}
+
 // Share serves the key that runs the smallest weighted share of what it could
 // run alone. The zero value is ready.
 type Share[K comparable] struct{}
 
 // Next implements Policy.
 func (Share[K]) Next(_ time.Time, waiting []Candidate[K]) int {
-	best := 0
-	least := waiting[0].share()
-	for i := 1; i < len(waiting); i++ {
-		s := waiting[i].share()
-		if s < least || s == least && waiting[i].Since.Before(waiting[best].Since) {
-			best, least = i, s
-		}
-	}
-	return best
+	return least(waiting, func(c *Candidate[K]) float64 { return c.Running / (c.Alone * c.Weight) })
 }
 
 // Started implements Policy.
 func (Share[K]) Started(time.Time, Candidate[K], float64) {}
 
-func (c *Candidate[K]) share() float64 {
-	return c.Running / (c.Alone * c.Weight)
+// least returns the index of the candidate with the least value, the one that
+// has waited longest among equals.
+func least[K comparable](waiting []Candidate[K], value func(*Candidate[K]) float64) int {
+	best := 0
+	low := value(&waiting[0])
+	for i := 1; i < len(waiting); i++ {
+		v := value(&waiting[i])
+		if v < low || v == low && waiting[i].Since.Before(waiting[best].Since) {
+			best, low = i, v
+		}
+	}
+	return best
 }
--- a/internal/control/cell/policy_test.go
+++ b/internal/control/cell/policy_test.go
@@ -15,6 +15,7 @@
 		{Key: "weighted", Since: at(3), Running: 9, Alone: 16, Weight: 2},
 	}
 	must.Eq(t, 0, FIFO[fleet.Workspace]{}.Next(at(9), waiting))
+	must.Eq(t, 1, MaxMin[fleet.Workspace]{}.Next(at(9), waiting))
 	must.Eq(t, 2, Share[fleet.Workspace]{}.Next(at(9), waiting))
 	var r RoundRobin[fleet.Workspace]
 	served := map[fleet.Workspace]int{}
--- a/internal/control/cell/queue.go
+++ b/internal/control/cell/queue.go
@@ -81,8 +81,9 @@
 	queues [classes][2]queue
 	// index is the place in the cell's list of a class, -1 when not in it.
 	index [classes]int
-	// spotAllowed is whether the newest request may run on spot servers.
-	spotAllowed bool
+	// spotAllowed is whether the newest request may run on spot servers, a
+	// class.
+	spotAllowed [classes]bool
 }
 
 func (t *tenant) oldest(class fleet.Class) time.Time {
--- a/internal/control/cell/schedule.go
+++ b/internal/control/cell/schedule.go
@@ -68,7 +68,7 @@
 			Key:     t.workspace,
 			Since:   t.oldest(class),
 			Running: float64(t.running[class]),
-			Alone:   float64(max(c.servers.alone(t.spotAllowed), 1)),
+			Alone:   float64(max(c.servers.alone(t.spotAllowed[class]), 1)),
 			Weight:  t.weight,
 		})
 	}
@@ -111,7 +111,7 @@
 
 func (c *Cell) policy() Policy[fleet.Workspace] {
 	if c.Policy == nil {
-		c.Policy = &RoundRobin[fleet.Workspace]{}
+		c.Policy = MaxMin[fleet.Workspace]{}
 	}
 	return c.Policy
 }
--- a/internal/model/experiment/variant.go
+++ b/internal/model/experiment/variant.go
@@ -75,7 +75,7 @@
 func Variants() []Variant {
 	ours := Variant{
 		Name:       "lacewingtally",
-		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return &cell.RoundRobin[fleet.Workspace]{} }),
+		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return cell.MaxMin[fleet.Workspace]{} }),
 		Bounded:    true,
 		Notices:    true,
 		Resume:     true,
@@ -85,6 +85,9 @@
 	share := ours
 	share.Name = "order by task share"
 	share.Admission = ourCell(func() cell.Policy[fleet.Workspace] { return cell.Share[fleet.Workspace]{} })
+	turns := ours
+	turns.Name = "order by turns"
+	turns.Admission = ourCell(func() cell.Policy[fleet.Workspace] { return &cell.RoundRobin[fleet.Workspace]{} })
 	demand := ours
 	demand.Name = "on-demand only"
 	demand.Spot = false
@@ -102,7 +105,7 @@
 	two.Name = "two random choices"
 	two.Admission = func(seed uint64) Admission { return newScattered(seed) }
 	two.OneClass = false
-	return []Variant{ours, share, fifo, two, demand, late}
+	return []Variant{ours, share, turns, fifo, two, demand, late}
 }
 
 func fifoCell(uint64) Admission {
--- a/internal/model/trace/deployment.go
+++ b/internal/model/trace/deployment.go
@@ -53,6 +53,8 @@
 	Part float64
 	// Prefixes is how many prompts it shares among its requests.
 	Prefixes int
+	// SpotAllowed is whether its live requests may run on spot servers.
+	SpotAllowed bool
 }
 
 // Asociace returns the kitchens' deployment: nine engines, three booking
@@ -145,9 +147,10 @@
 	var out []Workspace
 	for i, p := range parts {
 		out = append(out, Workspace{
-			Name:     fleet.Workspace(fmt.Sprintf("%s-%d", prefix, i)),
-			Part:     p,
-			Prefixes: 4,
+			Name:        fleet.Workspace(fmt.Sprintf("%s-%d", prefix, i)),
+			Part:        p,
+			Prefixes:    4,
+			SpotAllowed: i%2 == 0,
 		})
 	}
 	return out
--- a/internal/model/trace/trace.go
+++ b/internal/model/trace/trace.go
@@ -165,7 +165,7 @@
 			Tokens:       n,
 			Expected:     max(int(float64(n)*math.Exp(0.3*r.NormFloat64())), 1),
 			Patience:     liveDeadline,
-			SpotAllowed:  r.Float64() < 0.5,
+			SpotAllowed:  w.SpotAllowed,
 		})
 	}
 }
