Ask for a step's groups once the newest weights are on all servers

Cause: a step's first samples began on servers that still had the weights of the step before, so a quarter of what was used was two versions behind, and groups left over aged past the bound.

--- a/internal/model/experiment/training.go
+++ b/internal/model/experiment/training.go
@@ -42,6 +42,10 @@
 	made    int
 	// busy is whether it works on a step.
 	busy bool
+	// next is a batch formed while the trainer was busy.
+	next []*group
+	// rolledAt is when its newest weights are on all servers.
+	rolledAt time.Time
 	// idleSince is when it became idle; zero before its first step.
 	idleSince time.Time
 	firstAt   time.Time
@@ -98,11 +102,22 @@
 	}
 }
 
-// form hands the oldest whole groups to the trainer when there are enough.
+// form makes a batch of the oldest whole groups when there are enough, and
+// hands it to the trainer when that is idle.
 func (t *trainer) form() {
-	if t.busy || t.world.storeDown {
+	if t.next == nil && !t.world.storeDown && (!t.busy || t.world.variant.Ahead) {
+		t.fill()
+	}
+	if t.next == nil || t.busy {
 		return
 	}
+	batch := t.next
+	t.next = nil
+	t.train(batch)
+}
+
+// fill makes the next batch, if there are enough whole and fresh groups.
+func (t *trainer) fill() {
 	t.discardStale()
 	var whole []*group
 	for _, g := range t.groups {
@@ -110,26 +125,37 @@
 			whole = append(whole, g)
 		}
 	}
-	if len(whole) < t.spec.Groups {
-		t.submit()
+	if len(whole) == t.spec.Groups {
+		t.next = whole
+		t.groups = slices.DeleteFunc(t.groups, func(g *group) bool { return slices.Contains(whole, g) })
 		return
 	}
-	t.train(whole)
+	if !t.busy {
+		t.submit()
+	}
 }
 
 // discardStale drops the groups that have a sample beyond the bound.
 func (t *trainer) discardStale() {
 	t.groups = slices.DeleteFunc(t.groups, func(g *group) bool {
-		for _, s := range g.samples {
-			if s.version >= 0 && t.version-s.version > maxLag {
-				t.discard(g)
-				return true
-			}
+		if t.fresh(g) {
+			return false
 		}
-		return false
+		t.discard(g)
+		return true
 	})
 }
 
+// fresh reports whether a group's samples are within the bound.
+func (t *trainer) fresh(g *group) bool {
+	for _, s := range g.samples {
+		if s.version >= 0 && t.version-s.version > maxLag {
+			return false
+		}
+	}
+	return true
+}
+
 func (t *trainer) discard(g *group) {
 	w := t.world
 	t.discarded += len(g.samples)
@@ -162,17 +188,38 @@
 			w.tally.useful(s.tokens)
 		}
 	}
-	t.groups = slices.DeleteFunc(t.groups, func(g *group) bool { return slices.Contains(whole, g) })
-	t.submit()
+	t.ahead()
 	w.after(t.spec.StepTime, func() {
 		t.busy = false
 		t.idleSince = w.now
 		t.version++
 		w.publish(t)
+		t.recheck()
 		t.form()
 	})
 }
 
+// ahead asks for the groups of the next step: at once, or when the newest
+// weights are on all servers.
+func (t *trainer) ahead() {
+	if !t.world.variant.Fresh {
+		t.submit()
+		return
+	}
+	t.world.at(t.rolledAt, t.submit)
+}
+
+// recheck gives a batch formed ahead up when a group in it is past the bound.
+func (t *trainer) recheck() {
+	for _, g := range t.next {
+		if !t.fresh(g) {
+			t.groups = append(slices.Clone(t.next), t.groups...)
+			t.next = nil
+			return
+		}
+	}
+}
+
 // submit asks for the groups of the next step and the spare ones.
 func (t *trainer) submit() {
 	w := t.world
@@ -220,6 +267,7 @@
 // publish rolls a trainer's new weights out in waves.
 func (w *world) publish(t *trainer) {
 	version := t.version
+	t.rolledAt = w.now.Add((waves-1)*wavePeriod + swapTime)
 	for i, id := range slices.Clone(w.nodeIDs) {
 		n := w.nodes[id]
 		if n.server.Pool != "models" {
--- a/internal/model/experiment/variant.go
+++ b/internal/model/experiment/variant.go
@@ -32,8 +32,13 @@
 	Name string
 	// Admission makes the admission of one pool; seed is for random choices.
 	Admission func(seed uint64) Admission
+	// Ahead is whether a batch is formed while its trainer is still busy.
+	Ahead bool
 	// Bounded is whether waiting is bounded and callers name deadlines.
 	Bounded bool
+	// Fresh is whether a step's groups are asked for only when the newest
+	// weights are on all servers.
+	Fresh bool
 	// Notices is whether notices of a reclaim are heeded; without, only the
 	// VM list tells.
 	Notices bool
@@ -77,6 +82,7 @@
 		Name:       "lacewingtally",
 		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return cell.MaxMin[fleet.Workspace]{} }),
 		Bounded:    true,
+		Fresh:      true,
 		Notices:    true,
 		Resume:     true,
 		Spot:       true,
