Form the next batch while its trainer is busy

Cause: a batch row needs the table, so a store outage of five minutes stopped each trainer for the whole of what was left of it after its step.

--- a/internal/model/experiment/variant.go
+++ b/internal/model/experiment/variant.go
@@ -82,6 +82,7 @@
 		Name:       "lacewingtally",
 		Admission:  ourCell(func() cell.Policy[fleet.Workspace] { return cell.MaxMin[fleet.Workspace]{} }),
 		Bounded:    true,
+		Ahead:      true,
 		Fresh:      true,
 		Notices:    true,
 		Resume:     true,
