Give slow servers work only when the others are full

Cause: under stragglers an engine at a fifth of its speed went on getting live requests, whose callers then waited in vain.

The dispatcher compares the tokens a second of whole answers with the median of the cell; a pace is forgotten after 30 s, so the server is tried again.

--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -146,7 +146,9 @@
 	g.server.ended(now, r.Outcome)
 	c.end(g)
 	if r.Outcome == gate.Completed {
-		c.times[classOf(g.ask.Request.Class)].add(now.Sub(g.heldAt))
+		held := now.Sub(g.heldAt)
+		c.times[classOf(g.ask.Request.Class)].add(held)
+		g.server.pace.add(now, r.Tokens, held)
 	}
 	c.schedule(now)
 	return c.out
@@ -176,6 +178,7 @@
 		c.refuse(now, it.ask, refusal.ReasonDeadline, now)
 		c.unqueue(it)
 	}
+	c.servers.repace(now)
 	for _, g := range c.grants {
 		if c.lapsed(now, g) {
 			c.end(g)
--- a/internal/control/cell/placement.go
+++ b/internal/control/cell/placement.go
@@ -21,6 +21,8 @@
 	Reported float64
 	// Cached is whether the server was given the request's prefix of late.
 	Cached bool
+	// Slow is whether the server is clearly slower than the others.
+	Slow bool
 }
 
 // Placement chooses among servers with a free slot. It is used by one
@@ -32,7 +34,7 @@
 
 // PrefixPlacement takes a server that has the prefix cached unless it is
 // clearly busier than the least loaded one. Training prefers spot servers and
-// other work standard ones.
+// other work standard ones; a slow server comes last.
 type PrefixPlacement struct{}
 
 // Choose implements Placement.
@@ -68,6 +70,9 @@
 	if (o.Kind == fleet.Spot) != (class == fleet.Training) {
 		s++
 	}
+	if o.Slow {
+		s += 2
+	}
 	return s
 }
 
@@ -87,6 +92,7 @@
 			Load:     float64(s.running+s.foreign) / float64(s.server.Capacity),
 			Reported: float64(s.reported) / float64(s.server.Capacity),
 			Cached:   s.knows(a.Request.Prefix),
+			Slow:     s.slow,
 		})
 	}
 	if len(c.options) == 0 {
--- a/internal/control/cell/server.go
+++ b/internal/control/cell/server.go
@@ -33,12 +33,16 @@
 	// liveOnSpot counts grants that are not for training on spot servers, a
 	// failure domain.
 	liveOnSpot map[fleet.FailureDomain]int
+	// paces is reused by repace.
+	paces []float64
 }
 
 // serverState is one server.
 type serverState struct {
 	server fleet.Server
 	usable bool
+	// slow is whether it is clearly slower than the others.
+	slow bool
 	// running counts the cell's grants on it.
 	running int
 	// peak and peakBefore are the most that ran since the last report and in
@@ -51,6 +55,8 @@
 	reportedAt time.Time
 	// reported is the running and waiting requests of the newest report.
 	reported int
+	// pace is the server's rate of generation.
+	pace pace
 	// suspendedUntil is when the server may get work after a failure.
 	suspendedUntil time.Time
 	// failures counts failures since the last whole answer.
