--- a/internal/caller/operator/operator.go
+++ b/internal/caller/operator/operator.go
@@ -87,11 +87,6 @@
 	if err != nil {
 		return nil, fault(err)
 	}
-	h.recorder.Record(timeline.Event{
-		Kind:     timeline.ConfigAccepted,
-		Revision: written.Revision,
-		Detail:   r.Msg.GetOperator() + ": " + r.Msg.GetReason(),
-	})
 	pending, err := h.confirmer.Confirm(ctx, written.Revision)
 	a := &operatorv1.ApplyConfigResponse{
 		Revision: uint64(written.Revision),
@@ -101,7 +96,11 @@
 		a.PendingRegions = append(a.PendingRegions, string(p))
 	}
 	if a.InForce {
-		h.recorder.Record(timeline.Event{Kind: timeline.ConfigInForce, Revision: written.Revision, Detail: "everywhere"})
+		h.recorder.Record(timeline.Event{
+			Kind:     timeline.ConfigAccepted,
+			Revision: written.Revision,
+			Detail:   r.Msg.GetOperator() + ": " + r.Msg.GetReason(),
+		})
 	}
 	return connect.NewResponse(a), nil
 }
