--- a/internal/control/limit/limit_test.go
+++ b/internal/control/limit/limit_test.go
@@ -44,6 +44,28 @@
 	must.InDelta(t, 0.475, shares[3], 0.001)
 }
 
+// TestNewcomerHasAnEqualShare starts a daemon beside two that hold the whole
+// limit between them.
+func TestNewcomerHasAnEqualShare(t *testing.T) {
+	var l Ledger
+	now := start
+	for range 10 {
+		now = now.Add(time.Second)
+		for i := range 2 {
+			l.Ask(now, key, member(i), 100, 2)
+		}
+	}
+	for n := range 15 {
+		now = now.Add(time.Second)
+		for i := range 3 {
+			share := l.Ask(now, key, member(i), 100, 3)
+			if i == 2 || n >= 10 {
+				must.Between(t, 0.3, share, 0.4, must.Sprintf("daemon %d in round %d", i, n))
+			}
+		}
+	}
+}
+
 func TestIsolatedDaemonHasAnEqualShare(t *testing.T) {
 	var s Share
 	must.Eq(t, 0.25, s.Part(start, 4))
