--- a/internal/daemon/endtoend/cluster_test.go
+++ b/internal/daemon/endtoend/cluster_test.go
@@ -37,6 +37,8 @@
 	workspace   = "bakers"
 
 	port = 17000
+	// clustersAtOnce bounds the processes of the package.
+	clustersAtOnce = 3
 )
 
 var (
@@ -44,6 +46,8 @@
 	// networks counts the clusters, each of which has loopback addresses of
 	// its own.
 	networks atomic.Uint32
+	// slots bounds the clusters that run at once.
+	slots = make(chan struct{}, clustersAtOnce)
 )
 
 // cluster is a whole system of processes.
@@ -99,6 +103,9 @@
 // configuration has one workspace with one key.
 func newCluster(t *testing.T, options ...option) *cluster {
 	t.Helper()
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	n := networks.Add(1)
 	id := os.Getpid()
 	c := &cluster{
