Count refusals by their reasons

Cause: the metric was declared and nobody counted it. Before: lacewingtally_refusals never appeared. After: the recorder that counts events reads the reason from a closed list, so that no caller's text becomes a tag; tests compare the lists with the constants in the source.

--- a/internal/daemon/telemetry/metrics.go
+++ b/internal/daemon/telemetry/metrics.go
@@ -92,7 +92,8 @@
 	})
 }
 
-// Recorder returns a recorder that counts events and passes them on.
+// Recorder returns a recorder that counts events, refusals among them by their
+// reasons, and passes them on.
 func (m *Metrics) Recorder(next timeline.Recorder) timeline.Recorder {
 	return &counting{metrics: m, next: next}
 }
@@ -134,6 +135,9 @@
 func (c *counting) Record(e timeline.Event) {
 	tags := map[string]string{tagKind: string(e.Kind)}
 	c.metrics.scope.Tagged(tags).Counter(string(Events)).Inc(1)
+	if r := reasonOf(e); r != "" {
+		c.metrics.Refused(r)
+	}
 	c.next.Record(e)
 }
 
--- a/internal/daemon/telemetry/telemetry_test.go
+++ b/internal/daemon/telemetry/telemetry_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
+	"go/ast"
+	"go/parser"
+	"go/token"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -53,7 +58,9 @@
 	m := NewMetrics()
 	log := timeline.New("a", "1")
 	m.Recorder(log).Record(timeline.Event{Kind: timeline.Started})
-	m.Refused(refusal.ReasonKey)
+	refused := refusal.NotRun(refusal.ReasonLimit, time.Time{}, errors.New("cause"))
+	m.Recorder(log).Record(timeline.Event{Kind: timeline.RequestRefused, Detail: refused.Error()})
+	m.Recorder(log).Record(timeline.Event{Kind: timeline.RequestRefused, Detail: "x: a caller's text"})
 	m.Sample(Sample{Confirmed: true, Held: map[fleet.Duty]bool{"Usage": true}})
 	for _, n := range []Name{BadFrames, EventsDropped, PeerBytesRead, PeerBytesWritten} {
 		m.Count(n, 1)
@@ -71,12 +78,50 @@
 	for _, n := range Names() {
 		must.StrContains(t, text, "\nlacewingtally_"+string(n))
 	}
+	must.StrContains(t, text, `lacewingtally_refusals{reason="Limit"} 1`)
+	must.StrNotContains(t, text, "a caller's text")
 	must.StrContains(t, text, `procedure="plain"`)
 	must.StrNotContains(t, text, "any/path")
-	must.Len(t, 1, log.Events(time.Time{}, 10))
+	must.Len(t, 3, log.Events(time.Time{}, 10))
 	must.True(t, slices.IsSorted(Names()))
 }
 
+// TestListsAreWhole compares the closed lists with the constants in the source.
+func TestListsAreWhole(t *testing.T) {
+	var names []Name
+	for _, c := range constants(t, "metric.go", "Name") {
+		names = append(names, Name(c))
+	}
+	must.Eq(t, names, Names())
+	var reasons []refusal.Reason
+	for _, c := range constants(t, "../../base/refusal/refusal.go", "Reason") {
+		reasons = append(reasons, refusal.Reason(c))
+	}
+	must.Eq(t, reasons, Reasons())
+}
+
+// constants returns the values of the string constants of one type in a file.
+func constants(t *testing.T, file, typeName string) []string {
+	t.Helper()
+	f, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	must.NoError(t, err)
+	var values []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		v, ok := n.(*ast.ValueSpec)
+		if !ok || len(v.Values) != 1 {
+			return true
+		}
+		if i, ok := v.Type.(*ast.Ident); !ok || i.Name != typeName {
+			return true
+		}
+		text, err := strconv.Unquote(v.Values[0].(*ast.BasicLit).Value)
+		must.NoError(t, err)
+		values = append(values, text)
+		return true
+	})
+	return values
+}
+
 func TestLogger(t *testing.T) {
 	var b bytes.Buffer
 	l, err := NewLogger(&b, "info")
