--- /dev/null
+++ b/internal/daemon/telemetry/operations_test.go
@@ -0,0 +1,47 @@
+package telemetry
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+)
+
+// TestOperationsNamesEverything looks for each refusal's reason, metric, kind
+// of event and setting in a row of the operators' page.
+func TestOperationsNamesEverything(t *testing.T) {
+	b, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	must.NoError(t, err)
+	named := make(map[string]bool)
+	for _, line := range strings.Split(string(b), "\n") {
+		cells := strings.Split(line, "|")
+		if len(cells) < 3 {
+			continue
+		}
+		for i, word := range strings.Split(cells[1], "`") {
+			if i%2 == 1 {
+				named[word] = true
+			}
+		}
+	}
+	var words []string
+	for _, r := range Reasons() {
+		words = append(words, string(r))
+	}
+	for _, n := range Names() {
+		words = append(words, string(n))
+	}
+	for _, k := range timeline.Kinds() {
+		words = append(words, string(k))
+	}
+	for _, s := range config.Settings() {
+		words = append(words, string(s))
+	}
+	for _, w := range words {
+		must.True(t, named[w], must.Sprintf("%s is not explained", w))
+	}
+}
