--- /dev/null
+++ b/internal/control/view/trace_test.go
@@ -0,0 +1,165 @@
+package view_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/clock"
+	"github.com/lacewingtally/lacewingtally/internal/control/member"
+)
+
+// trace is recorded events with the outcomes that were stated for them.
+type trace struct {
+	// Outcome says what the trace shows.
+	Outcome string `yaml:"Outcome"`
+	// Daemons are registered at the start and hold revision 1.
+	Daemons []string    `yaml:"Daemons"`
+	Steps   []traceStep `yaml:"Steps"`
+}
+
+type traceStep struct {
+	// At is counted from the start of the trace.
+	At time.Duration `yaml:"At"`
+	// Do is Boot, Change, Copy, Count, Deliver, End, Expect, Finish, Ping, Read,
+	// ReadSets, Send, SendRead, Take or Write.
+	Do     string   `yaml:"Do"`
+	Daemon string   `yaml:"Daemon"`
+	Peers  []string `yaml:"Peers"`
+	Want   string   `yaml:"Want"`
+}
+
+type replay struct {
+	*model
+	t *testing.T
+}
+
+func (r replay) node(name string) *node {
+	for _, d := range r.daemons {
+		if d.view.Self.ID == daemon(name).ID {
+			return d
+		}
+	}
+	r.t.Fatalf("no daemon %q", name)
+	return nil
+}
+
+func (r replay) writer(d *node) *writer {
+	for _, w := range r.writers {
+		if w.node == d {
+			return w
+		}
+	}
+	r.t.Fatalf("no writer %v", d.view.Self.ID)
+	return nil
+}
+
+// send begins a call and lets its target answer it at once.
+func (r replay) send(from, to *node) {
+	r.flights = append(r.flights, &flight{from: from, to: to, sentAt: r.now})
+	r.deliver(len(r.flights) - 1)
+}
+
+// change replaces the members by those named, if the rule lets it.
+func (r replay) change(d *node, names []string) string {
+	var c member.Change
+	for _, n := range names {
+		c.Add = append(c.Add, r.node(n).view.Self)
+	}
+	for _, id := range r.set.IDs() {
+		keep := false
+		for _, m := range c.Add {
+			keep = keep || m.ID == id
+		}
+		if !keep {
+			c.Remove = append(c.Remove, id)
+		}
+	}
+	before := r.changes
+	r.commit(&offer{node: d, head: r.config, set: r.set, change: c})
+	if r.changes == before {
+		return "Refused"
+	}
+	return "Changed"
+}
+
+func (r replay) confirmed(d *node) string {
+	if clock.Passed(r.now, d.view.ConfirmedUntil()) {
+		return "Unconfirmed"
+	}
+	return "Confirmed"
+}
+
+// do carries one step out and returns its outcome, empty when it has none.
+func (r replay) do(s traceStep) string {
+	if s.Do == "Boot" {
+		r.boot(s.Daemon)
+		return ""
+	}
+	d := r.node(s.Daemon)
+	switch s.Do {
+	case "Take":
+		r.fetch(d)
+	case "Copy":
+		r.copyFrom(d, r.node(s.Peers[0]))
+	case "End":
+		d.ended = true
+	case "Ping", "Send":
+		for _, n := range s.Peers {
+			r.send(d, r.node(n))
+		}
+	case "Read", "SendRead":
+		r.send(d, nil)
+	case "Write":
+		r.write(d)
+	case "ReadSets":
+		r.writer(d).set, r.writer(d).read = r.set, true
+	case "Count":
+		r.count(r.writer(d))
+		return map[bool]string{true: "Behind", false: "Held"}[r.writer(d).heldAt.IsZero()]
+	case "Finish":
+		return map[bool]string{true: "Accepted", false: "Pending"}[r.finished(r.writer(d))]
+	case "Change":
+		return r.change(d, s.Peers)
+	case "Expect":
+		return r.confirmed(d)
+	case "Deliver":
+	default:
+		r.t.Fatalf("unknown step %q", s.Do)
+	}
+	if s.Do == "Ping" || s.Do == "Read" || s.Do == "Deliver" {
+		r.deliverAll(d)
+	}
+	return ""
+}
+
+// TestTraces replays the traces under testdata and requires the outcome stated
+// for each step.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			b, err := os.ReadFile(f)
+			must.NoError(t, err)
+			var x trace
+			d := yaml.NewDecoder(bytes.NewReader(b))
+			d.KnownFields(true)
+			must.NoError(t, d.Decode(&x))
+			r := replay{model: newModel(x.Daemons...), t: t}
+			start := r.now
+			for i, s := range x.Steps {
+				r.now = start.Add(s.At)
+				got := r.do(s)
+				must.Eq(t, s.Want, got, must.Sprintf("step %d: %+v", i, s))
+				r.check(t)
+			}
+		})
+	}
+}
