--- a/internal/caller/proxy/credentials.go
+++ b/internal/caller/proxy/credentials.go
@@ -19,6 +19,9 @@
 	keyParameter = "key"
 	// ownPrefix begins the headers that only the system may set.
 	ownPrefix = "Lacewingtally-"
+	// repeatHeader is set to "true" by a caller that sends a request again: a
+	// refusal then speaks of all its calls, not of the last one alone.
+	repeatHeader = "Request-Repeat"
 )
 
 // dropped are the headers that do not travel to a backend server: credentials,
@@ -45,6 +48,7 @@
 	"X-Real-Ip":           true,
 	"X-Workspace":         true,
 
+	repeatHeader:          true,
 	service.AttemptHeader: true,
 	service.RequestHeader: true,
 }
--- a/internal/caller/proxy/fixture_test.go
+++ b/internal/caller/proxy/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,7 +114,10 @@
 
 // daemon is the traffic path of one daemon.
 type daemon struct {
-	address  netip.AddrPort
+	address netip.AddrPort
+	// dead is set by kill.
+	dead     atomic.Bool
+	kill     func()
 	gate     *firstGate
 	running  *proxy.Running
 	suspects *suspect.Runtime
@@ -131,15 +135,45 @@
 	daemons  []*daemon
 	engines  []*standengine.Engine
 	services []*standservice.Service
+	listen   []net.Listener
+	options  fixtureOptions
 	wait     sync.WaitGroup
 	stop     context.CancelFunc
 }
 
+// daemonTable is the table as one daemon reaches it.
+type daemonTable struct {
+	table.Table
+	daemon  *daemon
+	fixture *fleetFixture
+	index   int
+}
+
+func (t daemonTable) Commit(ctx context.Context, x table.Txn) error {
+	if t.daemon.dead.Load() {
+		return table.ErrUnavailable
+	}
+	commit := func() error { return t.Table.Commit(ctx, x) }
+	if t.fixture.options.commit == nil {
+		return commit()
+	}
+	return t.fixture.options.commit(t.index, x, commit)
+}
+
+func (t daemonTable) Read(ctx context.Context, keys ...table.Key) ([]table.Row, error) {
+	if t.daemon.dead.Load() {
+		return nil, table.ErrUnavailable
+	}
+	return t.Table.Read(ctx, keys...)
+}
+
 type fixtureOptions struct {
 	daemons, engines, services int
 	engine                     []standengine.Option
-	fault                      func(to netip.AddrPort) link.Fault
-	tableFault                 func(commit bool, keys []table.Key) table.Fault
+	// commit, if set, stands before each commit of a daemon.
+	commit     func(d int, t table.Txn, commit func() error) error
+	decide     func(e link.Event) link.Action
+	tableFault func(commit bool, keys []table.Key) table.Fault
 }
 
 func address(net, i int) netip.AddrPort {
@@ -148,14 +182,15 @@
 
 func newFixture(t *testing.T, o fixtureOptions) *fleetFixture {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &fleetFixture{t: t, ctx: ctx, stop: stop, source: &source{}}
-	f.network.Fault = o.fault
+	f := &fleetFixture{t: t, ctx: ctx, stop: stop, options: o, source: &source{}}
+	f.network.Decide = o.decide
 	f.table.Fault = o.tableFault
 	var servers []fleet.Server
 	for i := range o.engines {
 		e := standengine.New(o.engine...)
 		f.engines = append(f.engines, e)
 		l := f.network.Listen(address(1, i))
+		f.listen = append(f.listen, l)
 		f.goServe(func() error { return e.Serve(ctx, l) })
 		servers = append(servers, fleet.Server{
 			ID: fleet.ServerID(fmt.Sprintf("engine-%d", i)), Address: address(1, i),
@@ -166,6 +201,7 @@
 		s := &standservice.Service{}
 		f.services = append(f.services, s)
 		l := f.network.Listen(address(2, i))
+		f.listen = append(f.listen, l)
 		f.goServe(func() error { return s.Serve(ctx, l) })
 		servers = append(servers, fleet.Server{
 			ID: fleet.ServerID(fmt.Sprintf("service-%d", i)), Address: address(2, i),
@@ -207,15 +243,22 @@
 }
 
 func (f *fleetFixture) addDaemon(i int) {
+	ctx, cancel := context.WithCancel(f.ctx)
 	d := &daemon{address: address(3, i), gate: &firstGate{source: f.source}, running: proxy.NewRunning(f.source)}
+	t := daemonTable{Table: &f.table, daemon: d, fixture: f, index: i}
 	l := loop.New()
 	var mux wire.Mux
 	d.suspects = suspect.New(suspect.Options{
-		Caller: f.peers.Attach(d.address, &mux), Loop: l, Self: d.address, Source: f.source, Table: &f.table,
+		Caller: f.peers.Attach(d.address, &mux), Loop: l, Self: d.address, Source: f.source, Table: t,
 	})
 	d.suspects.Handle(&mux)
-	claims := claim.NewStore(&f.table)
-	client := exchange.New(exchange.WithDial(f.network.Dial))
+	claims := claim.NewStore(t)
+	client := exchange.New(exchange.WithDial(func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		if d.dead.Load() {
+			return nil, link.ErrBroken
+		}
+		return f.network.Dial(ctx, to)
+	}))
 	o := proxy.Options{
 		Claims:   claims,
 		Engines:  func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, client) },
@@ -227,14 +270,22 @@
 	m := http.NewServeMux()
 	m.Handle(proxy.NewHTTPHandler(proxy.NewGenerationHandler(o, proxy.NewGenerator(o), d.running)))
 	m.Handle("/", proxy.NewPassThrough(o, d.running))
-	s := &http.Server{Handler: m, ReadHeaderTimeout: time.Minute}
+	s := &http.Server{
+		Handler: m, ReadHeaderTimeout: time.Minute,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}
 	listener := f.callers.Listen(d.address)
-	f.goServe(func() error { return l.Serve(f.ctx) })
-	f.goServe(func() error { return claims.Serve(f.ctx) })
-	f.goServe(func() error { return d.running.Serve(f.ctx) })
-	f.goServe(func() error { return d.suspects.Serve(f.ctx) })
+	f.goServe(func() error { return l.Serve(ctx) })
+	f.goServe(func() error { return claims.Serve(ctx) })
+	f.goServe(func() error { return d.running.Serve(ctx) })
+	f.goServe(func() error { return d.suspects.Serve(ctx) })
 	f.goServe(func() error { return s.Serve(listener) })
-	context.AfterFunc(f.ctx, func() { _ = s.Close() })
+	context.AfterFunc(ctx, func() { _ = s.Close() })
+	d.kill = func() {
+		d.dead.Store(true)
+		f.peers.Attach(d.address, nil)
+		cancel()
+	}
 	f.daemons = append(f.daemons, d)
 }
 
@@ -247,6 +298,11 @@
 	drain, cancel := context.WithTimeout(f.ctx, time.Minute)
 	defer cancel()
 	for _, d := range f.daemons {
+		if d.dead.Load() {
+			// Its handlers end by their own time limits.
+			sleepFor(f.ctx, time.Minute)
+			continue
+		}
 		must.NoError(f.t, d.running.Drain(drain))
 		must.Zero(f.t, d.gate.balance(), must.Sprint("grants not released"))
 	}
@@ -292,7 +348,8 @@
 	return text.String(), s.Err()
 }
 
-// post sends a request to a service through daemon i.
+// post sends a request to a service through daemon i. Status 0 is an answer
+// that did not come, or was cut.
 func (f *fleetFixture) post(i int, path, id, body string, header http.Header) (int, http.Header, string) {
 	r, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://daemon"+path, strings.NewReader(body))
 	must.NoError(f.t, err)
@@ -306,10 +363,14 @@
 		r.Header.Set("Authorization", "Bearer "+key)
 	}
 	a, err := f.client(i).Do(r)
-	must.NoError(f.t, err)
+	if err != nil {
+		return 0, nil, ""
+	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
-	must.NoError(f.t, err)
+	if err != nil {
+		return 0, a.Header, string(b)
+	}
 	return a.StatusCode, a.Header, string(b)
 }
 
--- a/internal/caller/proxy/passthrough.go
+++ b/internal/caller/proxy/passthrough.go
@@ -37,8 +37,10 @@
 	id          bool
 	fingerprint quarantine.Fingerprint
 	options     Options
-	request     service.Request
-	route       config.Route
+	// repeat is whether the caller says that it has sent the request before.
+	repeat  bool
+	request service.Request
+	route   config.Route
 	ticket      *Ticket
 }
 
@@ -77,6 +79,7 @@
 		return x, ctx, refusal.NotRun(refusal.ReasonNoRoute, time.Time{}, errArgument)
 	}
 	x.route = route
+	x.repeat = r.Header.Get(repeatHeader) == "true"
 	key := keyOf(r)
 	var err error
 	if route.Open {
@@ -99,6 +102,11 @@
 	if !errors.As(err, &e) {
 		e = refusal.MayHaveRun(refusal.ReasonServer, time.Time{}, err)
 	}
+	if x.repeat && x.held == nil && errors.Is(e, refusal.ErrNotRun) {
+		// This call has not run, but without a claim nothing is known of the
+		// earlier ones.
+		e = refusal.MayHaveRun(e.Reason, e.RetryAt, e)
+	}
 	k := timeline.RequestRefused
 	if e.Reason == refusal.ReasonKey {
 		k = timeline.KeyRefused
--- a/internal/control/claim/group.go
+++ b/internal/control/claim/group.go
@@ -24,6 +24,8 @@
 	table table.Table
 	// queue is never closed.
 	queue chan *op
+	// stopped is closed when serve returns.
+	stopped chan struct{}
 }
 
 // op is a write of one row on condition of its version.
@@ -46,12 +48,16 @@
 	o := &op{condition: c, write: w, done: make(chan result, 1)}
 	select {
 	case g.queue <- o:
+	case <-g.stopped:
+		return result{err: table.ErrUnavailable}
 	case <-ctx.Done():
 		return result{err: table.ErrUnavailable}
 	}
 	select {
 	case r := <-o.done:
 		return r
+	case <-g.stopped:
+		return result{err: table.ErrUnknown}
 	case <-ctx.Done():
 		return result{err: table.ErrUnknown}
 	}
@@ -60,6 +66,7 @@
 // serve commits groups until the context ends. While one transaction is under
 // way the next group gathers.
 func (g *group) serve(ctx context.Context) error {
+	defer close(g.stopped)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/control/claim/store.go
+++ b/internal/control/claim/store.go
@@ -37,7 +37,7 @@
 
 // NewStore returns a Store over t, which works while Serve runs.
 func NewStore(t table.Table) *Store {
-	return &Store{group: group{table: t, queue: make(chan *op, groupLimit)}}
+	return &Store{group: group{table: t, queue: make(chan *op, groupLimit), stopped: make(chan struct{})}}
 }
 
 // Begin claims a request. It returns a Held when the request may be sent, the
@@ -74,7 +74,7 @@
 	}
 }
 
-// Serve commits claims until the context ends.
+// Serve commits claims until the context ends. It is called once.
 func (s *Store) Serve(ctx context.Context) error {
 	return s.group.serve(ctx)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -142,6 +142,13 @@
 	return string(b)
 }
 
+// AddFault adds a fault to come after the others.
+func (e *Engine) AddFault(f Fault) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = append(e.faults, f)
+}
+
 // Crash ends the run: every stream is cut, and nothing is answered for d.
 func (e *Engine) Crash(d time.Duration) {
 	e.mutex.Lock()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -1,6 +1,6 @@
 // Package link connects callers and stand-ins: a listener that records every
 // byte received, and a network within one process whose connections can be made
-// to fail.
+// to fail at any step.
 package link
 
 import (
@@ -8,66 +8,75 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
-// Steps at which a connection can fail.
+// Steps of a connection.
 const (
-	// StepDial fails the making of the connection.
+	// StepDial is the making of the connection.
 	StepDial Step = iota + 1
-	// StepWriteBefore fails before the first byte written.
-	StepWriteBefore
-	// StepWriteDuring fails after half of the first write.
-	StepWriteDuring
-	// StepWriteAfter fails after the first write.
-	StepWriteAfter
-	// StepReadAfter fails after Fault.Bytes bytes read.
-	StepReadAfter
+	// StepRead is a read that has got data.
+	StepRead
+	// StepWrite is a write before any of its data went.
+	StepWrite
 )
 
-// ErrBroken is the error of a connection that a Fault ended.
+// Faults of a connection. The zero value is none.
+const (
+	// FaultBreak ends the connection.
+	FaultBreak Fault = iota + 1
+	// FaultDelay holds the step up for Action.Delay.
+	FaultDelay
+	// FaultDoubled gives the data of a read twice.
+	FaultDoubled
+	// FaultSilent leaves the connection open with nothing passing any more.
+	FaultSilent
+)
+
+// ErrBroken is the error of a connection that a fault ended.
 var ErrBroken = errors.New("link: broken")
 
-// Fault is what happens to one connection. The zero value is nothing.
-type Fault struct {
-	Step Step
-	// Bytes counts the bytes read before StepReadAfter.
+// Action is what a step does. The zero value goes on as usual.
+type Action struct {
+	Fault Fault
+	// Bytes of the data pass before FaultBreak and FaultSilent.
 	Bytes int
-	// Silent leaves the connection open with nothing passing any more; else it
-	// breaks.
-	Silent bool
+	Delay time.Duration
 }
 
+// Event is a step that is about to be done.
+type Event struct {
+	To   netip.AddrPort
+	Step Step
+	// Index counts the earlier steps of this kind on the connection.
+	Index int
+	// Data is what is written or was read; it is only valid in the call.
+	Data []byte
+}
+
+// Fault tells faults apart.
+type Fault uint8
+
 // Network connects callers and servers within one process. The zero value is
 // ready. Its methods may be called from any goroutine.
 type Network struct {
-	// Fault, if set, is asked about each new connection. It is not changed
-	// once connections are made.
-	Fault func(to netip.AddrPort) Fault
+	// Decide, if set, is asked before each step. It is not changed once
+	// connections are made.
+	Decide func(e Event) Action
 
 	mutex     sync.Mutex
 	listeners map[netip.AddrPort]*Listener
-	dials     atomic.Int64
 }
 
-// Step is a moment in the life of a connection.
+// Step is a kind of step.
 type Step uint8
 
 // Dial connects to the listener at an address.
 func (n *Network) Dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	n.dials.Add(1)
-	var f Fault
-	if n.Fault != nil {
-		f = n.Fault(to)
-	}
-	if f.Step == StepDial {
-		if f.Silent {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		}
-		return nil, ErrBroken
+	if err := n.begin(ctx, to); err != nil {
+		return nil, err
 	}
 	n.mutex.Lock()
 	l := n.listeners[to]
@@ -78,7 +87,7 @@
 	client, server := net.Pipe()
 	select {
 	case l.queue <- server:
-		return newFaulty(client, f), nil
+		return n.wrap(client, to), nil
 	case <-l.closed:
 		return nil, errors.Wrapf(ErrBroken, "nothing listens on %v", to)
 	case <-ctx.Done():
@@ -86,11 +95,6 @@
 	}
 }
 
-// Dials returns how many connections were asked for.
-func (n *Network) Dials() int64 {
-	return n.dials.Load()
-}
-
 // Listen opens a listener at an address, in place of an earlier one.
 func (n *Network) Listen(at netip.AddrPort) *Listener {
 	n.mutex.Lock()
@@ -102,3 +106,37 @@
 	n.listeners[at] = l
 	return l
 }
+
+func (n *Network) begin(ctx context.Context, to netip.AddrPort) error {
+	if n.Decide == nil {
+		return nil
+	}
+	switch a := n.Decide(Event{To: to, Step: StepDial}); a.Fault {
+	case FaultBreak:
+		return ErrBroken
+	case FaultSilent:
+		<-ctx.Done()
+		return ctx.Err()
+	case FaultDelay:
+		return wait(ctx.Done(), a.Delay)
+	}
+	return nil
+}
+
+func (n *Network) wrap(c net.Conn, to netip.AddrPort) net.Conn {
+	if n.Decide == nil {
+		return c
+	}
+	return &conn{Conn: c, decide: n.Decide, to: to, closed: make(chan struct{})}
+}
+
+func wait(done <-chan struct{}, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-done:
+		return net.ErrClosed
+	}
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -71,6 +71,13 @@
 	tap  link.Tap
 }
 
+// AddFault adds a fault to come after the others.
+func (s *Service) AddFault(f Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = append(s.faults, f)
+}
+
 // Crash aborts every new connection for d.
 func (s *Service) Crash(d time.Duration) {
 	s.mutex.Lock()
