--- a/internal/caller/proxy/matrix_generation_test.go
+++ b/internal/caller/proxy/matrix_generation_test.go
@@ -40,6 +40,7 @@
 		daemons: 3, engines: 3, decide: i.decide,
 		acquire: func() { i.reach(stepGrant) },
 		release: func() { i.reach(stepRelease) },
+		engine:  []standengine.Option{standengine.WithTokensPerSecond(100)},
 	})
 	defer f.close()
 	i.arm(f, cell)
@@ -52,6 +53,7 @@
 		begun := time.Now()
 		part, err := f.resume(min(n, 2), key, m, func(c *callerv1.GenerateResponse) {
 			must.Positive(t, c.WeightVersion)
+			must.True(t, i.open(), must.Sprintf("cell %v: chunk after the key was closed", cell))
 			m.Offset += c.Tokens
 		})
 		m.Partial += part
--- a/internal/caller/proxy/matrix_test.go
+++ b/internal/caller/proxy/matrix_test.go
@@ -94,6 +94,8 @@
 	armed []injection
 	// storeDownUntil is when the table answers again.
 	storeDownUntil time.Time
+	// closedAt is when the key stopped being good; zero while it is.
+	closedAt time.Time
 	// answersLost counts the commits whose answers are still to be lost.
 	answersLost int
 }
@@ -117,7 +119,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	i.armed = nil
-	i.storeDownUntil = time.Time{}
+	i.storeDownUntil, i.closedAt = time.Time{}, time.Time{}
 	i.answersLost = 0
 	i.fixture.source.change(func(s *view.State) {
 		s.Config = config.NewSnapshot(document())
@@ -174,6 +176,13 @@
 	return "", false
 }
 
+// open reports whether the key is good, or was until this very instant.
+func (i *injector) open() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.closedAt.IsZero() || !time.Now().After(i.closedAt)
+}
+
 // decide is the Decide of the network.
 func (i *injector) decide(e link.Event) link.Action {
 	for _, s := range stepsOf(e, i.middle) {
@@ -245,12 +254,14 @@
 	case faultDaemonDies:
 		i.fixture.daemons[0].kill()
 	case faultKey:
+		i.closedAt = time.Now()
 		i.fixture.source.change(func(s *view.State) {
 			c := document()
 			c.Keys[0].WithdrawnAt = time.Now()
 			s.Config = config.NewSnapshot(c)
 		})
 	case faultView:
+		i.closedAt = time.Now()
 		i.fixture.source.change(func(s *view.State) { s.ConfirmedUntil = time.Now() })
 	case faultStoreDown:
 		i.storeDownUntil = time.Now().Add(10 * time.Second)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -186,7 +186,7 @@
 	case at && s.fault.Kind == FaultSkip:
 		return nil
 	case at && s.fault.Kind == FaultCrossed:
-		c.Attempt = "another"
+		c.Attempt, c.Text = "another", token(s.base+1, c.Offset)
 	case at && s.fault.Kind == FaultDoubled:
 		if err := s.write(c); err != nil {
 			return err
