Prove requests over every fault at every step

Cause: whole answers, 'not run' and at most once were only shown by examples. Servers that leave blame nobody. Ruled out: telling suspects apart by groups, which costs a third server.

--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -131,7 +131,10 @@
 	return nil
 }
 
-// explain turns ErrCut into ErrCrashed when the run named boot is over.
+// explain turns ErrCut into a CrashError when the run named boot is over. An
+// attempt that no run has answered to may have come to an engine that was down
+// already; it is then taken for one that ran only if nothing listens any more,
+// for else it would not have been connected.
 func (h *HTTP) explain(ctx context.Context, boot string, err error) error {
 	if !errors.Is(err, ErrCut) || ctx.Err() != nil {
 		return err
@@ -139,7 +142,11 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, probe := h.Status(ctx)
-	if probe != nil || (boot != "" && s.Boot != boot) {
+	over := errors.Is(probe, ErrNotSent)
+	if boot != "" {
+		over = probe != nil || s.Boot != boot
+	}
+	if over {
 		return &CrashError{Boot: boot, Cause: err}
 	}
 	return err
--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -84,10 +84,13 @@
 		}
 		suspect := e.Standing == quarantine.Suspect
 		r := p.request
-		if suspect {
-			r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], p.options.Suspects.Busy()...)
-		}
+		busy := p.busy(suspect)
+		r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], busy...)
 		g, err := p.options.Gate.Acquire(ctx, r)
+		if err != nil && len(busy) > 0 && sleep(ctx, time.Now().Add(reserveWait)) {
+			// Other suspects run on the servers that are left.
+			continue
+		}
 		if err != nil {
 			return gate.Grant{}, false, p.denied(ctx, err)
 		}
@@ -118,7 +121,8 @@
 // blame counts a crash against the request and returns its final answer when
 // that makes it quarantined.
 func (p *placement) blame(ctx context.Context, g gate.Grant, apart bool, r attempt.Result, err error) error {
-	if r != attempt.ResultCrashed {
+	if r != attempt.ResultCrashed || !live(p.options, g.Server.ID) {
+		// A server that leaves ends by itself.
 		return nil
 	}
 	c := quarantine.Crash{Server: g.Server.ID}
@@ -134,6 +138,14 @@
 	return refusal.GaveUp(refusal.ReasonQuarantine, until, err)
 }
 
+// busy returns the servers that a suspect must leave to other suspects.
+func (p *placement) busy(suspect bool) []fleet.ServerID {
+	if !suspect {
+		return nil
+	}
+	return p.options.Suspects.Busy()
+}
+
 // denied turns the gate's refusal into what is true of the whole request.
 func (p *placement) denied(ctx context.Context, err error) error {
 	var e *refusal.Error
@@ -180,20 +192,23 @@
 	}
 }
 
-// usable reports whether a grant may still be used: a server that has begun to
-// leave gets no new work, whoever granted it.
-func usable(o Options, now time.Time, g gate.Grant) bool {
-	if clock.Passed(now, g.NotAfter) {
-		return false
-	}
+// live reports whether a server has not begun to leave. One that the view does
+// not show yet is live.
+func live(o Options, id fleet.ServerID) bool {
 	for _, s := range o.Source.State().Servers {
-		if s.ID == g.Server.ID {
+		if s.ID == id {
 			return s.State == fleet.StateLive
 		}
 	}
 	return true
 }
 
+// usable reports whether a grant may still be used: a server that has begun to
+// leave gets no new work, whoever granted it.
+func usable(o Options, now time.Time, g gate.Grant) bool {
+	return !clock.Passed(now, g.NotAfter) && live(o, g.Server.ID)
+}
+
 func outcomeOf(r attempt.Result) gate.Outcome {
 	switch r {
 	case attempt.ResultWhole:
--- /dev/null
+++ b/internal/caller/proxy/poison_test.go
@@ -0,0 +1,111 @@
+package proxy_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+)
+
+// innocents run beside a request that crashes its servers.
+var innocents = []string{"ovens", "fridges", "mixers", "knives", "pans", "sinks"}
+
+// TestMatrixPoison sends a request that crashes each engine that runs it, after
+// each number of chunks, beside innocents through one or two daemons, with a
+// crashed engine back soon, late or not at all.
+func TestMatrixPoison(t *testing.T) {
+	chunks := []int{0, 1, tokens / 2, tokens}
+	downs := []int{1, 5_000, 3_600_000}
+	daemons := []int{1, 2, 3}
+	n := 0
+	for _, after := range chunks {
+		for _, down := range downs {
+			for _, d := range daemons {
+				synctest.Test(t, func(t *testing.T) { poisonCell(t, after, down, d) })
+				n++
+			}
+		}
+	}
+	must.EqOp(t, len(chunks)*len(downs)*len(daemons), n)
+	t.Logf("%d cells", n)
+}
+
+func poisonCell(t *testing.T, after, down, daemons int) {
+	f := newFixture(t, fixtureOptions{
+		daemons: daemons, engines: 5,
+		engine: []standengine.Option{standengine.WithTokensPerSecond(20)},
+	})
+	defer f.close()
+	for _, e := range f.engines {
+		e.SetFaults(standengine.Fault{Kind: standengine.FaultCrash, After: after, Word: "poison", Down: down})
+	}
+	note := must.Sprintf("after %d chunks, down %d ms, %d daemons", after, down, daemons)
+	var w sync.WaitGroup
+	for n, prompt := range innocents {
+		w.Go(func() {
+			text, err := f.generate(n%daemons, key, prompt, nil)
+			must.NoError(t, err, note)
+			must.EqOp(t, standengine.Text(prompt, 7, 0, tokens), text, note)
+		})
+	}
+	_, err := f.generate(0, key, "poison", nil)
+	poisoned(t, err, note)
+	// Its sender sends it again, through every daemon, once the peers know.
+	synctest.Wait()
+	for n := range 2 * daemons {
+		begun := time.Now()
+		_, err := f.generate(n%daemons, key, "poison", nil)
+		poisoned(t, err, note)
+		must.EqOp(t, begun, time.Now(), note)
+	}
+	w.Wait()
+	// What is known is still on its way to the peers.
+	synctest.Wait()
+	must.EqOp(t, 2, crashes(f), note)
+	for _, d := range f.daemons {
+		for _, prompt := range innocents {
+			e := d.suspects.Check(time.Now(), quarantine.Of("bakers", "assistant", prompt))
+			must.EqOp(t, quarantine.Clear, e.Standing, note)
+		}
+	}
+}
+
+func TestPoisonRunsAgainAfterTheWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fixtureOptions{engines: 3})
+		defer f.close()
+		for _, e := range f.engines {
+			e.SetFaults(standengine.Fault{Kind: standengine.FaultCrash, After: 1, Word: "poison", Count: 1})
+		}
+		_, err := f.generate(0, key, "poison", nil)
+		r := poisoned(t, err)
+		time.Sleep(r.RetryAfter.AsDuration())
+		text, err := f.generate(0, key, "poison", nil)
+		must.NoError(t, err)
+		must.EqOp(t, standengine.Text("poison", 7, 0, tokens), text)
+	})
+}
+
+func crashes(f *fleetFixture) int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Crashes()
+	}
+	return n
+}
+
+// poisoned checks that a request got its final answer.
+func poisoned(t *testing.T, err error, note ...must.Setting) *callerv1.Refusal {
+	r := refusalOf(t, err)
+	must.EqOp(t, callerv1.Refusal_KIND_GAVE_UP, r.Kind, note...)
+	must.EqOp(t, string(refusal.ReasonQuarantine), r.Reason, note...)
+	must.Positive(t, r.RetryAfter.AsDuration(), note...)
+	return r
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -149,6 +149,13 @@
 	e.faults = append(e.faults, f)
 }
 
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.boot - 1
+}
+
 // Crash ends the run: every stream is cut, and nothing is answered for d.
 func (e *Engine) Crash(d time.Duration) {
 	e.mutex.Lock()
--- a/internal/standin/engine/fault.go
+++ b/internal/standin/engine/fault.go
@@ -4,13 +4,13 @@
 
 // Kinds of fault.
 const (
-	// FaultCrash ends the engine's run after After chunks of an attempt.
+	// FaultCrash ends the engine's run after After tokens.
 	FaultCrash FaultKind = "Crash"
-	// FaultCrossed answers with another attempt's chunk after After chunks.
+	// FaultCrossed answers with another attempt's chunk after After tokens.
 	FaultCrossed FaultKind = "Crossed"
-	// FaultCut cuts the connection after After chunks.
+	// FaultCut cuts the connection after After tokens.
 	FaultCut FaultKind = "Cut"
-	// FaultDoubled sends the chunk after After chunks twice.
+	// FaultDoubled sends the chunk after After tokens twice.
 	FaultDoubled FaultKind = "Doubled"
 	// FaultError answers with status 500 after having begun.
 	FaultError FaultKind = "Error"
@@ -20,9 +20,9 @@
 	FaultNoVersion FaultKind = "NoVersion"
 	// FaultRefuse states that the attempt was not begun.
 	FaultRefuse FaultKind = "Refuse"
-	// FaultSilent sends nothing more after After chunks.
+	// FaultSilent sends nothing more after After tokens.
 	FaultSilent FaultKind = "Silent"
-	// FaultSkip leaves out the chunk after After chunks.
+	// FaultSkip leaves out the chunk after After tokens.
 	FaultSkip FaultKind = "Skip"
 	// FaultSwap fails orders to load weights.
 	FaultSwap FaultKind = "Swap"
@@ -31,7 +31,8 @@
 // Fault is what goes wrong with an attempt or an order.
 type Fault struct {
 	Kind FaultKind
-	// After is the number of chunks sent before the fault.
+	// After is the number of tokens of the answer, those of earlier attempts
+	// included, before the fault.
 	After int
 	// Word limits the fault to prompts that contain it; empty is any.
 	Word string
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -21,6 +21,8 @@
 	crashed <-chan struct{}
 	encoder *json.Encoder
 	engine  *Engine
+	// failed is whether a fault of a single chunk has come.
+	failed  bool
 	fault   Fault
 	flusher http.Flusher
 	request engine.Request
@@ -118,9 +120,14 @@
 	return c
 }
 
+// due reports whether the answer is as long as the fault asks for.
+func (s *stream) due() bool {
+	return s.request.Offset+s.sent >= s.fault.After
+}
+
 // fail does what the fault asks for before the next chunk.
 func (s *stream) fail(ctx context.Context) error {
-	if s.sent != s.fault.After {
+	if !s.due() {
 		return nil
 	}
 	switch s.fault.Kind {
@@ -180,7 +187,8 @@
 }
 
 func (s *stream) send(c engine.Chunk) error {
-	at := s.sent == s.fault.After
+	at := s.due() && !s.failed
+	s.failed = s.failed || at
 	s.sent++
 	switch {
 	case at && s.fault.Kind == FaultSkip:
