--- a/internal/caller/proxy/generation.go
+++ b/internal/caller/proxy/generation.go
@@ -18,6 +18,10 @@
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 )
 
+// compressMinimum is the size from which a message is compressed, in bytes: the
+// chunks of a stream are far smaller and would only cost time.
+const compressMinimum = 4 << 10
+
 // errArgument is the cause of a refusal of a malformed request.
 var errArgument = errors.New("proxy: malformed request")
 
@@ -37,7 +41,8 @@
 
 // NewHTTPHandler returns the path and the handler to mount h at.
 func NewHTTPHandler(h *GenerationHandler) (string, http.Handler) {
-	return callerv1.NewGenerationServiceHandler(h, connect.WithReadMaxBytes(bodyLimit))
+	return callerv1.NewGenerationServiceHandler(h,
+		connect.WithCompressMinBytes(compressMinimum), connect.WithReadMaxBytes(bodyLimit))
 }
 
 // Generate implements callerv1.GenerationServiceHandler.
--- /dev/null
+++ b/internal/control/attempt/run_test.go
@@ -0,0 +1,103 @@
+package attempt_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/attempt"
+)
+
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+var results = []attempt.Result{
+	attempt.ResultCrashed, attempt.ResultCut, attempt.ResultNotSent, attempt.ResultProtocol,
+	attempt.ResultRefused, attempt.ResultStopped, attempt.ResultWhole,
+}
+
+// mayRun reports whether an attempt with a result may have run.
+func mayRun(r attempt.Result) bool {
+	return r != attempt.ResultNotSent && r != attempt.ResultRefused
+}
+
+// play gives results to a Run until it is over and checks each decision. It
+// returns the number of attempts.
+func play(t rapid.TB, repeatable bool, next func(n int) attempt.Result) int {
+	r := attempt.Run{Deadline: now.Add(time.Minute), Repeatable: repeatable}
+	ran, crashes := false, 0
+	for n := 0; ; n++ {
+		if !r.Begin() {
+			t.Fatalf("attempt %d after a Retry", n)
+		}
+		result := next(n)
+		ran = ran || mayRun(result)
+		if result == attempt.ResultCrashed {
+			crashes++
+		}
+		d := r.End(now, result, nil)
+		if crashes > 2 {
+			t.Fatalf("%d crashes", crashes)
+		}
+		switch d.Action {
+		case attempt.Deliver:
+			if result != attempt.ResultWhole {
+				t.Fatalf("delivered after %d", result)
+			}
+			return n + 1
+		case attempt.Refuse:
+			if ran && errors.Is(d.Refusal, refusal.ErrNotRun) {
+				t.Fatal("not run, said of what may have")
+			}
+			if !ran && !errors.Is(d.Refusal, refusal.ErrNotRun) {
+				t.Fatalf("%v, said of what has not run", d.Refusal)
+			}
+			return n + 1
+		}
+		if ran && !repeatable {
+			t.Fatal("repeated what may have run")
+		}
+		if d.At.Before(now) || !d.At.Before(r.Deadline) {
+			t.Fatalf("next attempt at %v", d.At)
+		}
+	}
+}
+
+func TestRunModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		play(t, rapid.Bool().Draw(t, "repeatable"), func(int) attempt.Result {
+			return rapid.SampledFrom(results).Draw(t, "result")
+		})
+	})
+}
+
+// TestMatrixRun plays every three results in a row, the last one for ever.
+func TestMatrixRun(t *testing.T) {
+	n := 0
+	for _, a := range results {
+		for _, b := range results {
+			for _, c := range results {
+				for _, repeatable := range []bool{false, true} {
+					row := []attempt.Result{a, b, c}
+					attempts := play(t, repeatable, func(n int) attempt.Result { return row[min(n, 2)] })
+					must.LessEq(t, 8, attempts)
+					n++
+				}
+			}
+		}
+	}
+	must.EqOp(t, len(results)*len(results)*len(results)*2, n)
+	t.Logf("%d cells", n)
+}
+
+func TestRunDeadline(t *testing.T) {
+	r := attempt.Run{Deadline: now.Add(time.Millisecond), Repeatable: true}
+	must.True(t, r.Begin())
+	d := r.End(now, attempt.ResultNotSent, nil)
+	must.EqOp(t, attempt.Refuse, d.Action)
+	must.EqOp(t, refusal.ReasonDeadline, d.Refusal.Reason)
+	must.ErrorIs(t, d.Refusal, refusal.ErrNotRun)
+}
--- /dev/null
+++ b/internal/control/claim/claim_test.go
@@ -0,0 +1,286 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.yaml.in/yaml/v3"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/claim"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+// now is the instant at which decisions are asked in tests without time.
+var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// row is the one row of the model's table.
+type row struct {
+	version uint64
+	record  claim.Record
+}
+
+// party is one call of the request at one daemon.
+type party struct {
+	claim  claim.Claim
+	action claim.Action
+	// sent, ran and told are what happened to the call.
+	sent, ran bool
+	told      error
+	dead      bool
+}
+
+// model drives the decisions of many calls of one request over one row, whose
+// writes may be lost, late, or have their answers lost.
+type model struct {
+	row     row
+	version uint64
+	// late are inserts that the table takes later.
+	late    []claim.Record
+	parties []*party
+	runs    int
+}
+
+func (m *model) insert(r claim.Record) bool {
+	if m.row.version != 0 {
+		return false
+	}
+	m.version++
+	m.row = row{version: m.version, record: r}
+	return true
+}
+
+func (m *model) event(k claim.EventKind) claim.Event {
+	return claim.Event{Kind: k, Record: m.row.record, Version: m.row.version}
+}
+
+// step does what a party's decision asked for, with a fault.
+func (m *model) step(t *rapid.T, p *party) {
+	fault := rapid.SampledFrom([]string{"", "", "AnswerLost", "RequestLost", "Late", "Down", "Dies"}).Draw(t, "fault")
+	if fault == "Dies" {
+		p.dead = true
+		return
+	}
+	switch p.action.Kind {
+	case claim.Insert:
+		p.action = p.claim.Apply(now, m.insertEvent(claim.Record{Token: p.claim.Token, Fingerprint: 1}, fault))
+	case claim.Read:
+		e := m.event(claim.EventRead)
+		if fault != "" {
+			e = claim.Event{Kind: claim.EventUnavailable}
+		}
+		p.action = p.claim.Apply(now, e)
+	case claim.Send:
+		m.send(t, p)
+	case claim.Keep:
+		if fault != "Down" && fault != "RequestLost" && m.row.record.Token == p.claim.Token && m.row.version != 0 {
+			m.version++
+			m.row.version = m.version
+			m.row.record.Answer = &claim.Answer{Status: 200}
+		}
+		p.action = claim.Action{Kind: claim.None}
+	case claim.Release:
+		if fault != "Down" && fault != "RequestLost" && m.row.record.Token == p.claim.Token {
+			m.row = row{}
+		}
+		p.action = claim.Action{Kind: claim.None}
+	case claim.Refuse:
+		p.told = p.action.Refusal
+		p.action = claim.Action{Kind: claim.None}
+	case claim.Replay:
+		if m.runs != 1 {
+			t.Fatalf("an answer was replayed after %d runs", m.runs)
+		}
+		p.action = claim.Action{Kind: claim.None}
+	}
+}
+
+func (m *model) insertEvent(r claim.Record, fault string) claim.Event {
+	switch fault {
+	case "Down":
+		return claim.Event{Kind: claim.EventUnavailable}
+	case "RequestLost":
+		return claim.Event{Kind: claim.EventUnknown}
+	case "Late":
+		m.late = append(m.late, r)
+		return claim.Event{Kind: claim.EventUnknown}
+	}
+	ok := m.insert(r)
+	switch {
+	case fault == "AnswerLost":
+		return claim.Event{Kind: claim.EventUnknown}
+	case ok:
+		return m.event(claim.EventInserted)
+	default:
+		return m.event(claim.EventConflict)
+	}
+}
+
+// send sends the request and ends it in one of the ways there are.
+func (m *model) send(t *rapid.T, p *party) {
+	if p.sent {
+		t.Fatal("sent twice by one call")
+	}
+	p.sent = true
+	end := rapid.SampledFrom([]claim.EventKind{
+		claim.EventAnswered, claim.EventLost, claim.EventNotRun,
+	}).Draw(t, "end")
+	if end != claim.EventNotRun {
+		p.ran = true
+		m.runs++
+	}
+	p.action = p.claim.Apply(now, claim.Event{Kind: end})
+}
+
+// check is what must hold after each step.
+func (m *model) check(t *rapid.T) {
+	if m.runs > 1 {
+		t.Fatalf("the request ran %d times", m.runs)
+	}
+	for _, p := range m.parties {
+		if p.ran && errors.Is(p.told, refusal.ErrNotRun) {
+			t.Fatal("a call that ran was told that it did not")
+		}
+	}
+}
+
+// TestClaimModel drives random calls of one request with random faults.
+func TestClaimModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				if len(m.parties) >= 8 {
+					return
+				}
+				p := &party{claim: claim.Claim{Fingerprint: 1, Token: fmt.Sprint(len(m.parties))}}
+				p.action = p.claim.Apply(now, claim.Event{Kind: claim.EventBegin})
+				m.parties = append(m.parties, p)
+			},
+			"late": func(t *rapid.T) {
+				if len(m.late) == 0 {
+					return
+				}
+				m.insert(m.late[0])
+				m.late = m.late[1:]
+			},
+			"step": func(t *rapid.T) {
+				live := slices.DeleteFunc(slices.Clone(m.parties), func(p *party) bool {
+					return p.dead || p.action.Kind == claim.None
+				})
+				if len(live) == 0 {
+					return
+				}
+				m.step(t, rapid.SampledFrom(live).Draw(t, "party"))
+			},
+			"": m.check,
+		})
+	})
+}
+
+// trace is a recorded claim: events with the actions that must follow.
+type trace struct {
+	Name  string `yaml:"Name"`
+	Steps []struct {
+		Event       claim.EventKind  `yaml:"Event"`
+		Token       string           `yaml:"Token"`
+		Fingerprint uint64           `yaml:"Fingerprint"`
+		Version     uint64           `yaml:"Version"`
+		Answered    bool             `yaml:"Answered"`
+		Want        claim.ActionKind `yaml:"Want"`
+		Refusal     string           `yaml:"Refusal"`
+	} `yaml:"Steps"`
+}
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		must.NoError(t, err)
+		var traces []trace
+		must.NoError(t, yaml.Unmarshal(b, &traces))
+		for _, x := range traces {
+			t.Run(x.Name, func(t *testing.T) { replay(t, x) })
+		}
+	}
+}
+
+func replay(t *testing.T, x trace) {
+	c := claim.Claim{Fingerprint: 1, Token: "own"}
+	for n, s := range x.Steps {
+		e := claim.Event{Kind: s.Event, Version: s.Version}
+		e.Record = claim.Record{Token: s.Token, Fingerprint: s.Fingerprint}
+		if s.Answered {
+			e.Record.Answer = &claim.Answer{Status: 200}
+		}
+		a := c.Apply(now, e)
+		must.EqOp(t, s.Want, a.Kind, must.Sprintf("step %d", n))
+		if s.Refusal == "" {
+			must.Nil(t, a.Refusal)
+			continue
+		}
+		must.EqOp(t, s.Refusal, a.Refusal.Error(), must.Sprintf("step %d", n))
+	}
+}
+
+// counting counts the transactions of a table and holds the first one up.
+type counting struct {
+	table.Memory
+	commits int
+	hold    time.Duration
+}
+
+func (c *counting) Commit(ctx context.Context, t table.Txn) error {
+	c.commits++
+	time.Sleep(c.hold)
+	return c.Memory.Commit(ctx, t)
+}
+
+// TestStoreGroups makes 100 claims at once, ten of them of one request.
+func TestStoreGroups(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		tab := &counting{hold: 10 * time.Millisecond}
+		s := claim.NewStore(tab)
+		go func() { _ = s.Serve(ctx) }()
+		results := make(chan error, 100)
+		for n := range 100 {
+			go func() {
+				id := fmt.Sprintf("id-%d", max(n-9, 0))
+				h, _, err := s.Begin(ctx, "bakers", fleet.RequestID(id), 1)
+				if h != nil {
+					h.Lose()
+				}
+				results <- err
+			}()
+		}
+		held, refused := 0, 0
+		for range 100 {
+			if err := <-results; err == nil {
+				held++
+			} else {
+				must.ErrorIs(t, err, refusal.ErrMayHaveRun)
+				refused++
+			}
+		}
+		must.EqOp(t, 91, held)
+		must.EqOp(t, 9, refused)
+		must.Less(t, 20, tab.commits)
+		cancel()
+		synctest.Wait()
+		_, _, err := s.Begin(context.Background(), "bakers", "another", 1)
+		must.ErrorIs(t, err, refusal.ErrNotRun)
+	})
+}
--- a/internal/control/claim/group.go
+++ b/internal/control/claim/group.go
@@ -80,7 +80,11 @@
 func (g *group) flush(ctx context.Context, ops []*op) {
 	for range roundLimit {
 		now, later := distinct(ops)
-		ops = append(g.commit(ctx, now), later...)
+		ops = g.commit(ctx, now)
+		if len(later) > 0 {
+			// Most of them repeat a claim of this very transaction.
+			ops = append(ops, g.split(ctx, later)...)
+		}
 		if len(ops) == 0 {
 			return
 		}
@@ -128,7 +132,7 @@
 	defer cancel()
 	rows, err := g.table.Read(c, keys...)
 	if err != nil || len(rows) != len(ops) {
-		// The transaction was refused, so nothing of it is written.
+		// Nothing of these ops is written.
 		finish(ops, table.ErrUnavailable)
 		return nil
 	}
--- a/internal/control/quarantine/quarantine.go
+++ b/internal/control/quarantine/quarantine.go
@@ -274,3 +274,15 @@
 	}
 	return Entry{Standing: s, Until: e.until, RunsOn: e.server}
 }
+
+// String returns the standing's name.
+func (s Standing) String() string {
+	switch s {
+	case Suspect:
+		return "Suspect"
+	case Quarantined:
+		return "Quarantined"
+	default:
+		return "Clear"
+	}
+}
--- /dev/null
+++ b/internal/control/quarantine/quarantine_test.go
@@ -0,0 +1,240 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.yaml.in/yaml/v3"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+)
+
+var (
+	start  = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	holder = netip.MustParseAddrPort("127.0.0.1:80")
+)
+
+// poison is the fingerprint of the request that crashes its servers.
+const poison quarantine.Fingerprint = 1
+
+// model runs requests on servers, one of which crashes each server it runs on,
+// and asks a Quarantine where they may run.
+type model struct {
+	quarantine quarantine.Quarantine
+	now        time.Time
+	boots      map[fleet.ServerID]int
+	// running maps each server to the requests there; apart are those that
+	// hold its reservation.
+	running map[fleet.ServerID]map[quarantine.Fingerprint]bool
+	// crashed counts the servers that crashed under each request.
+	crashed map[quarantine.Fingerprint]int
+}
+
+const servers = 5
+
+func (m *model) place(f quarantine.Fingerprint, s fleet.ServerID) {
+	for _, r := range m.running {
+		if _, ok := r[f]; ok {
+			return
+		}
+	}
+	apart := false
+	switch m.quarantine.Check(m.now, f).Standing {
+	case quarantine.Quarantined:
+		return
+	case quarantine.Suspect:
+		v := quarantine.Reservation{Fingerprint: f, Holder: holder, Server: s}
+		if apart = m.quarantine.Reserve(m.now, v); !apart {
+			return
+		}
+	}
+	if m.running[s] == nil {
+		m.running[s] = make(map[quarantine.Fingerprint]bool)
+	}
+	m.running[s][f] = apart
+}
+
+// crash ends a server with all that runs there.
+func (m *model) crash(s fleet.ServerID) {
+	c := quarantine.Crash{Server: s, Boot: fmt.Sprint(m.boots[s])}
+	m.boots[s]++
+	for f, apart := range m.running[s] {
+		m.crashed[f]++
+		m.quarantine.Strike(m.now, quarantine.Strike{Crash: c, Fingerprint: f, Apart: apart, At: m.now})
+	}
+	delete(m.running, s)
+}
+
+// finish ends a request whole.
+func (m *model) finish(f quarantine.Fingerprint, s fleet.ServerID) {
+	apart, ok := m.running[s][f]
+	if !ok {
+		return
+	}
+	delete(m.running[s], f)
+	if apart {
+		m.quarantine.Absolve(m.now, f)
+	}
+}
+
+// check is what must hold: only the request that crashes servers is
+// quarantined, after two of them, and no two suspects share a server.
+func (m *model) check(t *rapid.T) {
+	for f := poison; f <= 12; f++ {
+		if f != poison && m.quarantine.Check(m.now, f).Standing == quarantine.Quarantined {
+			t.Fatalf("innocent %d is quarantined", f)
+		}
+	}
+	if m.crashed[poison] > 2 {
+		t.Fatalf("%d servers crashed", m.crashed[poison])
+	}
+	if m.crashed[poison] == 2 && m.quarantine.Check(m.now, poison).Standing != quarantine.Quarantined {
+		t.Fatal("not quarantined after two crashes")
+	}
+	for s, r := range m.running {
+		n := 0
+		for _, apart := range r {
+			if apart {
+				n++
+			}
+		}
+		if n > 1 {
+			t.Fatalf("%d suspects on %s", n, s)
+		}
+	}
+}
+
+// drive draws random steps. Only a server that runs the poison crashes.
+func drive(t *rapid.T, m *model) {
+	server := rapid.Custom(func(t *rapid.T) fleet.ServerID {
+		return fleet.ServerID(fmt.Sprint(rapid.IntRange(1, servers).Draw(t, "server")))
+	})
+	request := rapid.Custom(func(t *rapid.T) quarantine.Fingerprint {
+		return quarantine.Fingerprint(rapid.IntRange(1, 12).Draw(t, "request"))
+	})
+	t.Repeat(map[string]func(*rapid.T){
+		"place": func(t *rapid.T) { m.place(request.Draw(t, "request"), server.Draw(t, "server")) },
+		"finish": func(t *rapid.T) {
+			if f := request.Draw(t, "request"); f != poison {
+				m.finish(f, server.Draw(t, "server"))
+			}
+		},
+		"crash": func(t *rapid.T) {
+			for s, r := range m.running {
+				if _, ok := r[poison]; ok {
+					m.crash(s)
+					return
+				}
+			}
+		},
+		"time": func(t *rapid.T) {
+			m.now = m.now.Add(time.Second)
+			for s, r := range m.running {
+				for f, apart := range r {
+					if apart {
+						v := quarantine.Reservation{Fingerprint: f, Holder: holder, Server: s}
+						m.quarantine.Renew(m.now, v)
+					}
+				}
+			}
+		},
+		"": m.check,
+	})
+}
+
+func newModel() *model {
+	return &model{
+		now:     start,
+		boots:   make(map[fleet.ServerID]int),
+		running: make(map[fleet.ServerID]map[quarantine.Fingerprint]bool),
+		crashed: make(map[quarantine.Fingerprint]int),
+	}
+}
+
+func TestQuarantineModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { drive(t, newModel()) })
+}
+
+// TestTogetherBlamesInnocents shows that judging suspects by crashes that they
+// did not meet apart quarantines an innocent: one that ran beside the poison on
+// two servers, through a repeat of each.
+func TestTogetherBlamesInnocents(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		var q quarantine.Quarantine
+		q.Policy.Together = together
+		for _, s := range []fleet.ServerID{"1", "2"} {
+			for _, f := range []quarantine.Fingerprint{poison, 2} {
+				q.Strike(start, quarantine.Strike{Crash: quarantine.Crash{Server: s}, Fingerprint: f, At: start})
+			}
+		}
+		must.EqOp(t, together, q.Check(start, 2).Standing == quarantine.Quarantined)
+	}
+}
+
+// trace is a recorded run: calls with what they must return.
+type trace struct {
+	Name  string `yaml:"Name"`
+	Steps []struct {
+		After   time.Duration          `yaml:"After"`
+		Call    string                 `yaml:"Call"`
+		Request quarantine.Fingerprint `yaml:"Request"`
+		Server  fleet.ServerID         `yaml:"Server"`
+		Boot    string                 `yaml:"Boot"`
+		Apart   bool                   `yaml:"Apart"`
+		Holder  netip.AddrPort         `yaml:"Holder"`
+		Want    string                 `yaml:"Want"`
+	} `yaml:"Steps"`
+}
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, file := range files {
+		b, err := os.ReadFile(file)
+		must.NoError(t, err)
+		var traces []trace
+		must.NoError(t, yaml.Unmarshal(b, &traces))
+		for _, x := range traces {
+			t.Run(x.Name, func(t *testing.T) { replay(t, x) })
+		}
+	}
+}
+
+func replay(t *testing.T, x trace) {
+	var q quarantine.Quarantine
+	now := start
+	for n, s := range x.Steps {
+		now = now.Add(s.After)
+		v := quarantine.Reservation{Fingerprint: s.Request, Holder: s.Holder, Server: s.Server}
+		got := ""
+		switch s.Call {
+		case "Absolve":
+			q.Absolve(now, s.Request)
+		case "Accept":
+			got = fmt.Sprint(q.Accept(now, v))
+		case "Condemn":
+			q.Condemn(now, s.Request, now.Add(quarantine.Window))
+		case "Free":
+			q.Free(now, s.Request)
+		case "Renew":
+			got = fmt.Sprint(q.Renew(now, v))
+		case "Reserve":
+			got = fmt.Sprint(q.Reserve(now, v))
+		case "Strike":
+			c := quarantine.Crash{Server: s.Server, Boot: s.Boot}
+			q.Strike(now, quarantine.Strike{Crash: c, Fingerprint: s.Request, Apart: s.Apart, At: now})
+		}
+		if got == "" {
+			got = q.Check(now, s.Request).Standing.String()
+		}
+		must.EqOp(t, s.Want, got, must.Sprintf("step %d: %s", n, s.Call))
+	}
+}
--- a/internal/standin/link/conn.go
+++ b/internal/standin/link/conn.go
@@ -49,6 +49,10 @@
 		return 0, c.fail(f, c.deadline(false))
 	}
 	n, err := c.Conn.Read(b)
+	if f := c.failed(); f != 0 {
+		// The connection failed while this read waited.
+		return 0, c.fail(f, c.deadline(false))
+	}
 	if n == 0 {
 		return n, err
 	}
