Search the servers' bytes for keys in every place; forget old claims

Cause: keys were only looked for where callers are told to put them; claims stayed in the table for ever; a crash of one server took the retry budget of all streams that it ran.

--- a/internal/caller/proxy/fixture_test.go
+++ b/internal/caller/proxy/fixture_test.go
@@ -180,6 +180,7 @@
 	engine                     []standengine.Option
 	// acquire and release, if set, are called by the gates.
 	acquire, release func()
+	budget           proxy.Budget
 	// commit, if set, stands before each commit of a daemon.
 	commit     func(d int, t table.Txn, commit func() error) error
 	decide     func(e link.Event) link.Action
@@ -271,6 +272,7 @@
 		return f.network.Dial(ctx, to)
 	}))
 	o := proxy.Options{
+		Budget:   f.options.budget,
 		Claims:   claims,
 		Engines:  func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, client) },
 		Gate:     d.gate,
--- a/internal/caller/proxy/generation.go
+++ b/internal/caller/proxy/generation.go
@@ -22,6 +22,9 @@
 // chunks of a stream are far smaller and would only cost time.
 const compressMinimum = 4 << 10
 
+// spotTokens is the longest answer that spot servers may run for a live request.
+const spotTokens = 512
+
 // errArgument is the cause of a refusal of a malformed request.
 var errArgument = errors.New("proxy: malformed request")
 
@@ -99,6 +102,8 @@
 		Offset:    int(m.Offset),
 		MaxTokens: int(m.MaxTokens),
 		Seed:      m.Seed,
+		// A reclaimed server costs a resume, which is short for a short answer.
+		SpotAllowed: m.MaxTokens-m.Offset <= spotTokens,
 	}
 	if q.ID == "" {
 		q.ID = fleet.RequestID(uuid.NewString())
--- /dev/null
+++ b/internal/caller/proxy/key_test.go
@@ -0,0 +1,133 @@
+package proxy_test
+
+import (
+	"bytes"
+	"encoding/base64"
+	"net/http"
+	"net/url"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
+)
+
+// places are where a caller may put its key, by mistake or not.
+var places = []struct {
+	name string
+	put  func(r *http.Request)
+}{
+	{"bearer", func(r *http.Request) { r.Header.Set("Authorization", "Bearer "+key) }},
+	{"bearer in small letters", func(r *http.Request) { r.Header["Authorization"] = []string{"bearer  " + key} }},
+	{"basic", func(r *http.Request) {
+		r.Header.Add("Authorization", "Basic "+base64.StdEncoding.EncodeToString([]byte("u:"+key)))
+	}},
+	{"two bearers", func(r *http.Request) { r.Header["Authorization"] = []string{"Bearer " + key, "Bearer " + otherKey} }},
+	{"api key", func(r *http.Request) { r.Header.Set("X-Api-Key", key) }},
+	{"proxy", func(r *http.Request) { r.Header.Set("Proxy-Authorization", key) }},
+	{"cookie", func(r *http.Request) { r.Header.Set("Cookie", "k="+key) }},
+	{"token", func(r *http.Request) { r.Header.Set("X-Auth-Token", key) }},
+	{"any header", func(r *http.Request) { r.Header.Set("X-Note", "of "+key+" mine") }},
+	{"header name", func(r *http.Request) { r.Header.Set(key, "1") }},
+	{"referer", func(r *http.Request) { r.Header.Set("Referer", "http://x/?key="+key) }},
+	{"query", func(r *http.Request) { r.URL.RawQuery = "key=" + key }},
+	{"query in capitals", func(r *http.Request) { r.URL.RawQuery = "KEY=" + key }},
+	{"query escaped", func(r *http.Request) { r.URL.RawQuery = "a=1&%6bey=" + url.QueryEscape(key) }},
+	{"other parameter", func(r *http.Request) { r.URL.RawQuery = "a=1&t=" + key }},
+	{"parameter name", func(r *http.Request) { r.URL.RawQuery = key + "=1" }},
+	{"path", func(r *http.Request) { r.URL.Path += "/" + key }},
+	{"request ID", func(r *http.Request) { r.Header.Set("Request-Id", key) }},
+	{"trailer", func(r *http.Request) { r.Trailer = http.Header{"X-Key": {key}} }},
+}
+
+// TestMatrixNoServerSeesKey puts a key in every place, over routes that are
+// keyed or open and repeatable or not, while the first server refuses, cuts or
+// crosses its answer, so that requests are sent again; and searches every byte
+// that the servers received.
+func TestMatrixNoServerSeesKey(t *testing.T) {
+	faults := []standservice.FaultKind{
+		"", standservice.FaultRefuse, standservice.FaultCut, standservice.FaultCutBody, standservice.FaultCrossed,
+	}
+	paths := []string{"/bookings", "/prices", "/open"}
+	n := 0
+	for _, p := range places {
+		for _, fault := range faults {
+			for _, path := range paths {
+				synctest.Test(t, func(t *testing.T) { keyCell(t, path, fault, p.put) })
+				n++
+			}
+		}
+	}
+	must.EqOp(t, len(places)*len(faults)*len(paths), n)
+	t.Logf("%d cells", n)
+}
+
+func keyCell(t *testing.T, path string, fault standservice.FaultKind, put func(*http.Request)) {
+	f := newFixture(t, fixtureOptions{services: 2})
+	defer f.close()
+	if fault != "" {
+		f.services[0].SetFaults(standservice.Fault{Kind: fault, Count: 1})
+	}
+	r, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://daemon"+path, bytes.NewReader([]byte("two")))
+	must.NoError(t, err)
+	r.Header.Set("X-Api-Key", key)
+	put(r)
+	a, err := f.client(0).Do(r)
+	must.NoError(t, err)
+	a.Body.Close()
+	for _, s := range f.services {
+		for _, k := range []string{key, otherKey, base64.StdEncoding.EncodeToString([]byte("u:" + key))} {
+			must.False(t, bytes.Contains(s.Received(), []byte(k)), must.Sprintf("%s", s.Received()))
+		}
+	}
+}
+
+// TestKeyDecidesTheWorkspace claims another workspace in every header there is
+// for it; the run is for the key's own.
+func TestKeyDecidesTheWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fixtureOptions{services: 1})
+		defer f.close()
+		h := http.Header{
+			"Lacewingtally-Workspace": {"caterers"},
+			"X-Workspace":             {"caterers"},
+			"X-Forwarded-User":        {"caterers"},
+		}
+		_, _, body := f.post(0, "/prices", "", "", h)
+		must.EqOp(t, "run 1 for bakers of POST /prices: \n", body)
+		// The same request ID of another workspace is another request.
+		status, _, _ := f.post(0, "/bookings", "id-1", "two", nil)
+		must.EqOp(t, http.StatusOK, status)
+		other := http.Header{"Authorization": {"Bearer " + otherKey}}
+		_, _, body = f.post(0, "/bookings", "id-1", "two", other)
+		must.EqOp(t, "run 2 for caterers of POST /bookings: two\n", body)
+	})
+}
+
+// TestMovedKeyCutsStream moves a key to another workspace while its stream runs.
+func TestMovedKeyCutsStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fixtureOptions{engines: 1, engine: []standengine.Option{standengine.WithTokensPerSecond(10)}})
+		defer f.close()
+		var moved time.Time
+		_, err := f.generate(0, key, "ovens", func(m *callerv1.GenerateResponse) {
+			if m.Offset != 4 {
+				return
+			}
+			moved = time.Now()
+			f.source.change(func(s *view.State) {
+				c := document()
+				c.Keys[0].Workspace = "caterers"
+				s.Config = config.NewSnapshot(c)
+			})
+		})
+		must.EqOp(t, callerv1.Refusal_KIND_MAY_HAVE_RUN, refusalOf(t, err).Kind)
+		must.EqOp(t, moved, time.Now())
+	})
+}
--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -31,6 +31,11 @@
 	run     attempt.Run
 }
 
+// checker is a gate that can tell whether a grant still holds.
+type checker interface {
+	Check(now time.Time, g gate.Grant) error
+}
+
 // send makes one attempt with a grant and returns how it ended, with the
 // number of tokens generated.
 type send func(ctx context.Context, g gate.Grant) (tokens int, err error)
@@ -55,7 +60,6 @@
 			p.release(ctx, g, apart, attempt.ResultStopped, 0)
 			return p.run.Deny(refusal.ReasonServer, time.Time{}, nil)
 		}
-		p.options.record(p.event(timeline.RequestGranted, g.Server.ID))
 		tokens, err := s(ctx, g)
 		result := resultOf(ctx, err)
 		condemned := p.blame(ctx, g, apart, result, err)
@@ -69,7 +73,7 @@
 		case d.Action == attempt.Refuse:
 			return p.final(ctx, d.Refusal)
 		}
-		if err := p.again(ctx, g, d.At); err != nil {
+		if err := p.again(ctx, g, tokens > 0, d.At); err != nil {
 			return err
 		}
 	}
@@ -105,10 +109,11 @@
 	}
 }
 
-// again prepares the next attempt, at an instant.
-func (p *placement) again(ctx context.Context, g gate.Grant, at time.Time) error {
+// again prepares the next attempt, at an instant. One that goes on where the
+// last one ended repeats no token and needs no budget.
+func (p *placement) again(ctx context.Context, g gate.Grant, progress bool, at time.Time) error {
 	now := time.Now()
-	if !p.options.retry(now, p.request.Workspace) {
+	if !progress && !p.options.retry(now, p.request.Workspace) {
 		return p.run.Deny(refusal.ReasonRetryBudget, now.Add(returnAfter), nil)
 	}
 	p.request.Exclude = append(p.request.Exclude, g.Server.ID)
@@ -206,6 +211,9 @@
 // usable reports whether a grant may still be used: a server that has begun to
 // leave gets no new work, whoever granted it.
 func usable(o Options, now time.Time, g gate.Grant) bool {
+	if c, ok := o.Gate.(checker); ok && c.Check(now, g) != nil {
+		return false
+	}
 	return !clock.Passed(now, g.NotAfter) && live(o, g.Server.ID)
 }
 
--- a/internal/control/claim/claim_test.go
+++ b/internal/control/claim/claim_test.go
@@ -284,3 +284,34 @@
 		must.ErrorIs(t, err, refusal.ErrNotRun)
 	})
 }
+
+// TestStoreForgets makes more claims than a page holds, waits until their
+// retention has ended, and finds that only the younger ones are left.
+func TestStoreForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var tab table.Memory
+		s := claim.NewStore(&tab)
+		go func() { _ = s.Serve(ctx) }()
+		begin := func(id string) error {
+			h, _, err := s.Begin(ctx, "bakers", fleet.RequestID(id), 1)
+			if h != nil {
+				h.Lose()
+			}
+			return err
+		}
+		for n := range 520 {
+			must.NoError(t, begin(fmt.Sprint("old-", n)))
+		}
+		time.Sleep(claim.Retention - time.Hour)
+		must.NoError(t, begin("young"))
+		must.ErrorIs(t, begin("old-7"), refusal.ErrMayHaveRun)
+		time.Sleep(time.Hour + 10*time.Minute)
+		rows, err := tab.Scan(ctx, claim.Prefix, "", 10)
+		must.NoError(t, err)
+		must.SliceLen(t, 1, rows)
+		must.ErrorIs(t, begin("young"), refusal.ErrMayHaveRun)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/control/claim/store.go
+++ b/internal/control/claim/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -74,8 +75,12 @@
 	}
 }
 
-// Serve commits claims until the context ends. It is called once.
+// Serve commits claims, and deletes old ones, until the context ends. It is
+// called once.
 func (s *Store) Serve(ctx context.Context) error {
+	var w sync.WaitGroup
+	defer w.Wait()
+	w.Go(func() { (&sweeper{table: s.group.table}).serve(ctx) })
 	return s.group.serve(ctx)
 }
 
--- /dev/null
+++ b/internal/control/claim/sweep.go
@@ -0,0 +1,70 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+const (
+	// Retention is how long a request ID is remembered. A repeat that comes
+	// later is a new request.
+	Retention = 24 * time.Hour
+	// sweepInterval is the time between two pages of one daemon's sweep.
+	sweepInterval = 30 * time.Second
+	// sweepLimit bounds the rows of one page.
+	sweepLimit = 500
+)
+
+// sweeper deletes the claims whose retention has ended, a page at a time. Every
+// daemon has one; a row that another one deleted first is a conflict.
+type sweeper struct {
+	// after is the last key of the page before; empty begins anew.
+	after table.Key
+	table table.Table
+}
+
+func (s *sweeper) serve(ctx context.Context) {
+	t := time.NewTicker(sweepInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.page(ctx, time.Now())
+		}
+	}
+}
+
+// page reads one page and deletes what has ended in it. After an error the next
+// round reads the same page again.
+func (s *sweeper) page(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := s.table.Scan(ctx, Prefix, s.after, sweepLimit)
+	if err != nil {
+		return
+	}
+	t := table.Txn{ID: uuid.NewString()}
+	for _, r := range rows {
+		x, err := decode(r.Value)
+		if err != nil || now.Before(x.At.Add(Retention)) {
+			continue
+		}
+		t.Conditions = append(t.Conditions, table.Condition{Key: r.Key, Version: r.Version})
+		t.Writes = append(t.Writes, table.Write{Key: r.Key, Delete: true})
+	}
+	if len(t.Writes) > 0 {
+		if err := s.table.Commit(ctx, t); err != nil {
+			return
+		}
+	}
+	s.after = ""
+	if len(rows) == sweepLimit {
+		s.after = rows[len(rows)-1].Key
+	}
+}
