--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -31,6 +31,11 @@
 	run     attempt.Run
 }
 
+// checker is a gate that can tell whether a grant still holds.
+type checker interface {
+	Check(now time.Time, g gate.Grant) error
+}
+
 // send makes one attempt with a grant and returns how it ended, with the
 // number of tokens generated.
 type send func(ctx context.Context, g gate.Grant) (tokens int, err error)
@@ -55,7 +60,6 @@
 			p.release(ctx, g, apart, attempt.ResultStopped, 0)
 			return p.run.Deny(refusal.ReasonServer, time.Time{}, nil)
 		}
-		p.options.record(p.event(timeline.RequestGranted, g.Server.ID))
 		tokens, err := s(ctx, g)
 		result := resultOf(ctx, err)
 		condemned := p.blame(ctx, g, apart, result, err)
@@ -69,7 +73,7 @@
 		case d.Action == attempt.Refuse:
 			return p.final(ctx, d.Refusal)
 		}
-		if err := p.again(ctx, g, d.At); err != nil {
+		if err := p.again(ctx, g, tokens > 0, d.At); err != nil {
 			return err
 		}
 	}
@@ -84,10 +88,13 @@
 		}
 		suspect := e.Standing == quarantine.Suspect
 		r := p.request
-		if suspect {
-			r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], p.options.Suspects.Busy()...)
-		}
+		busy := p.busy(suspect)
+		r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], busy...)
 		g, err := p.options.Gate.Acquire(ctx, r)
+		if err != nil && len(busy) > 0 && sleep(ctx, time.Now().Add(reserveWait)) {
+			// Other suspects run on the servers that are left.
+			continue
+		}
 		if err != nil {
 			return gate.Grant{}, false, p.denied(ctx, err)
 		}
@@ -102,10 +109,11 @@
 	}
 }
 
-// again prepares the next attempt, at an instant.
-func (p *placement) again(ctx context.Context, g gate.Grant, at time.Time) error {
+// again prepares the next attempt, at an instant. One that goes on where the
+// last one ended repeats no token and needs no budget.
+func (p *placement) again(ctx context.Context, g gate.Grant, progress bool, at time.Time) error {
 	now := time.Now()
-	if !p.options.retry(now, p.request.Workspace) {
+	if !progress && !p.options.retry(now, p.request.Workspace) {
 		return p.run.Deny(refusal.ReasonRetryBudget, now.Add(returnAfter), nil)
 	}
 	p.request.Exclude = append(p.request.Exclude, g.Server.ID)
@@ -118,7 +126,8 @@
 // blame counts a crash against the request and returns its final answer when
 // that makes it quarantined.
 func (p *placement) blame(ctx context.Context, g gate.Grant, apart bool, r attempt.Result, err error) error {
-	if r != attempt.ResultCrashed {
+	if r != attempt.ResultCrashed || !live(p.options, g.Server.ID) {
+		// A server that leaves ends by itself.
 		return nil
 	}
 	c := quarantine.Crash{Server: g.Server.ID}
@@ -134,6 +143,14 @@
 	return refusal.GaveUp(refusal.ReasonQuarantine, until, err)
 }
 
+// busy returns the servers that a suspect must leave to other suspects.
+func (p *placement) busy(suspect bool) []fleet.ServerID {
+	if !suspect {
+		return nil
+	}
+	return p.options.Suspects.Busy()
+}
+
 // denied turns the gate's refusal into what is true of the whole request.
 func (p *placement) denied(ctx context.Context, err error) error {
 	var e *refusal.Error
@@ -180,20 +197,26 @@
 	}
 }
 
-// usable reports whether a grant may still be used: a server that has begun to
-// leave gets no new work, whoever granted it.
-func usable(o Options, now time.Time, g gate.Grant) bool {
-	if clock.Passed(now, g.NotAfter) {
-		return false
-	}
+// live reports whether a server has not begun to leave. One that the view does
+// not show yet is live.
+func live(o Options, id fleet.ServerID) bool {
 	for _, s := range o.Source.State().Servers {
-		if s.ID == g.Server.ID {
+		if s.ID == id {
 			return s.State == fleet.StateLive
 		}
 	}
 	return true
 }
 
+// usable reports whether a grant may still be used: a server that has begun to
+// leave gets no new work, whoever granted it.
+func usable(o Options, now time.Time, g gate.Grant) bool {
+	if c, ok := o.Gate.(checker); ok && c.Check(now, g) != nil {
+		return false
+	}
+	return !clock.Passed(now, g.NotAfter) && live(o, g.Server.ID)
+}
+
 func outcomeOf(r attempt.Result) gate.Outcome {
 	switch r {
 	case attempt.ResultWhole:
