Never hold a daemon below its fair part of an equal share

Cause: TestRollingRestart failed again, now with reason Limit from a daemon that had been up for seconds. While daemons are replaced, the shares that the leaving and the new ones may still spend left nothing for the rest; with three of nine replaced at once the ledger gave 0 to the daemons that stayed. Before: TestMemberChangesLeaveAnEqualShare fails. After: a daemon gets its fair share up to an equal share at once; only what exceeds it must be free.

--- a/internal/control/limit/ledger.go
+++ b/internal/control/limit/ledger.go
@@ -43,9 +43,6 @@
 
 type holder struct {
 	demand float64
-	// equalUntil is when the shares that others had before this daemon came
-	// have run out.
-	equalUntil time.Time
 	// given are the shares that may still be spent: an answer may be lost,
 	// so an older and larger one counts until it has run out.
 	given []given
@@ -60,16 +57,14 @@
 
 // Ask records a daemon's demand and returns its share of the limit, from 0 to 1. members is the number of daemons that may spend.
 //
-// The shares given out and an equal share for each daemon that has none never
-// add up to more than 1 in one ledger, save that a daemon which came less than
-// holdWindow ago has an equal share although others may still spend it.
+// A daemon is never refused its fair share up to an equal share. What exceeds
+// that is given only as far as the shares of the others, and an equal share for
+// each daemon that has none, leave it free. So the shares add up to 1 once each
+// daemon has asked, and to less than 2 while others may still spend older ones.
 func (l *Ledger) Ask(now time.Time, k Key, m fleet.MemberID, demand float64, members int) float64 {
 	a := l.account(now, k)
 	a.age(now)
-	h, known := a.holders[m]
-	if !known {
-		h.equalUntil = now.Add(holdWindow)
-	}
+	h := a.holders[m]
 	h.demand = max(demand, 0)
 	a.holders[m] = h
 	equal := 1 / float64(max(members, len(a.holders), 1))
@@ -77,10 +72,7 @@
 	if clock.Passed(now, a.equalUntil) {
 		share = a.fair(m, equal)
 	}
-	share = min(share, a.free(m, members, equal))
-	if !clock.Passed(now, h.equalUntil) {
-		share = equal
-	}
+	share = min(share, max(a.free(m, members, equal), equal))
 	h.given = append(h.given, given{part: share, until: now.Add(holdWindow)})
 	a.holders[m] = h
 	return share
