Add a soak of random faults on real processes

Cause: the end-to-end tests put single faults on the system; pairs in random order find what nobody thought of. After: make soak kills, restarts and freezes daemons, freezes engines and the service and troubles the table, two at once by seed, and compares what callers saw with what the backend servers did. It isn't part of make test, since its load depends on the machine's speed.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 PROTOC_GEN_CONNECT_GO_VERSION := v1.21.1
 
 SEED ?= 1
+SOAK ?= 40s
 GOBIN := $(shell go env GOPATH)/bin
 export CGO_ENABLED := 1
 export PATH := $(GOBIN):$(PATH)
@@ -72,3 +73,7 @@
 .PHONY: demo
 demo: build ## start the system on loopback and tour it
 	scripts/demo
+
+.PHONY: soak
+soak: ## put random faults on real processes for a while (SEED=n, SOAK=40s)
+	LACEWINGTALLY_SEED=$(SEED) LACEWINGTALLY_SOAK=$(SOAK) go test -tags soak -count=1 -timeout 30m -v -run '^TestSoak$$' ./internal/daemon/endtoend
