--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -54,6 +54,9 @@
 	scratch []Candidate[fleet.Workspace]
 	options []Option
 	states  []*serverState
+	// released are grants that ended of late, with when they may be
+	// forgotten: a registration made before may still name them.
+	released map[string]time.Time
 	// queued are the tenants with something waiting, a class.
 	queued [classes][]*tenant
 }
@@ -143,6 +146,10 @@
 		return nil
 	}
 	c.heard(now, g.ask.Entry)
+	if c.released == nil {
+		c.released = make(map[string]time.Time)
+	}
+	c.released[id] = now.Add(silentWindow)
 	g.server.ended(now, r.Outcome)
 	c.end(g)
 	if r.Outcome == gate.Completed {
@@ -178,6 +185,11 @@
 		c.refuse(now, it.ask, refusal.ReasonDeadline, now)
 		c.unqueue(it)
 	}
+	for id, until := range c.released {
+		if clock.Passed(now, until) {
+			delete(c.released, id)
+		}
+	}
 	c.servers.repace(now)
 	for _, g := range c.grants {
 		if c.lapsed(now, g) {
--- a/internal/control/cell/cell_test.go
+++ b/internal/control/cell/cell_test.go
@@ -209,6 +209,20 @@
 	must.Eq(t, 1, c.Summary().Free)
 }
 
+func TestRegistrationDoesNotBringAReleasedGrantBack(t *testing.T) {
+	m := fleet.MemberID{Incarnation: "m"}
+	var c Cell
+	c.Servers(at(0), standard(1, 1))
+	a := request("1", "a", fleet.Live, 0)
+	a.Entry = m
+	g := granted(c.Ask(at(0), a))["1"]
+	c.Release(at(1), g.ID, gate.Report{Outcome: gate.Completed})
+	c.Register(at(1), Registration{Entry: m, Sequence: 1, Running: []Running{{Grant: g.ID, Ask: "1", Server: g.Server.ID}}})
+	must.Eq(t, 1, c.Summary().Free)
+	c.Tick(at(2 + silentWindow.Seconds()))
+	must.MapEmpty(t, c.released)
+}
+
 func TestSilentDaemonLosesItsGrants(t *testing.T) {
 	var c Cell
 	c.Servers(at(0), standard(1, 1))
--- a/internal/control/cell/register.go
+++ b/internal/control/cell/register.go
@@ -58,6 +58,9 @@
 	if _, ok := c.grants[v.Grant]; ok {
 		return
 	}
+	if _, ok := c.released[v.Grant]; ok {
+		return
+	}
 	if it, ok := c.asks[v.Ask]; ok && it.grant == nil {
 		c.unqueue(it)
 	}
--- a/internal/peer/grant/client.go
+++ b/internal/peer/grant/client.go
@@ -119,13 +119,14 @@
 
 // Leave takes a notice that servers leave and passes it on to every daemon.
 func (c *Client) Leave(now time.Time, ids ...fleet.ServerID) {
+	before := c.servers.Snapshot()
 	events := c.servers.Leave(now, ids...)
 	for _, e := range events {
 		if e.Kind == server.Closed {
 			c.record(timeline.Event{Kind: timeline.ServerLeaving, Server: e.Server})
 		}
 	}
-	if len(events) > 0 {
+	if c.servers.Snapshot() != before {
 		c.peers.notify()
 	}
 }
@@ -165,6 +166,7 @@
 	answer, err := c.send(ctx, m, c.message(sent, id, a))
 	if err != nil {
 		c.peers.avoid(time.Now(), m.ID)
+		c.running.unsettle(time.Now())
 		a.backoff = true
 		return gate.Grant{}, errAgain
 	}
@@ -234,6 +236,7 @@
 	select {
 	case c.releases <- struct{}{}:
 	default:
+		c.running.unsettle(time.Now())
 		return
 	}
 	c.group.Go(func() {
@@ -278,16 +281,20 @@
 		now := time.Now()
 		id, m, ok := c.home(now, g.Server)
 		if !ok {
-			return
+			break
 		}
 		answer, err := c.sendRelease(ctx, m, releaseMessage{Cell: id, Grant: g.ID, Report: r})
 		if err == nil {
 			c.servers.Leave(now, answer.Leaving...)
+			if answer.Moved {
+				break
+			}
 			c.peers.summarise(now, id, answer.Summary)
 			return
 		}
 		c.peers.avoid(time.Now(), m.ID)
 	}
+	c.running.unsettle(time.Now())
 }
 
 // home returns the cell that a server is in now, and its dispatcher.
--- a/internal/peer/grant/client_test.go
+++ b/internal/peer/grant/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/cell"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
@@ -104,6 +105,43 @@
 	})
 }
 
+// TestNoticeIsRepeatedAfterACut has no traffic that could carry the notice.
+func TestNoticeIsRepeatedAfterACut(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, 4, 2, 4)
+		defer w.end()
+		from := w.daemons[0]
+		set := func(c wire.Cut) {
+			for _, d := range w.daemons[1:] {
+				w.network.Cut(from.member.ID.Address, d.member.ID.Address, c)
+			}
+		}
+		set(wire.CutSilent)
+		from.client.Leave(time.Now(), w.list[0].ID)
+		time.Sleep(3 * time.Second)
+		must.True(t, w.daemons[1].servers.Snapshot().Usable(w.list[0].ID))
+		set(0)
+		time.Sleep(2 * demandPeriod)
+		for _, d := range w.daemons {
+			must.False(t, d.servers.Snapshot().Usable(w.list[0].ID))
+		}
+	})
+}
+
+func TestGrantEndsWithItsWindow(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		w := newWorld(t, 2, 1, 1)
+		defer w.end()
+		c := w.daemons[0].client
+		g, err := c.Acquire(t.Context(), ask("1", time.Minute))
+		must.NoError(t, err)
+		must.NoError(t, c.Check(time.Now(), g))
+		time.Sleep(cell.GrantWindow)
+		must.ErrorIs(t, c.Check(time.Now(), g), ErrLeaving)
+		c.Release(g, gate.Report{Outcome: gate.Stopped})
+	})
+}
+
 func TestSilentDispatcherIsPassedOver(t *testing.T) {
 	bubble(t, func(t *testing.T) {
 		w := newWorld(t, 3, 2, 2)
--- a/internal/peer/grant/peers.go
+++ b/internal/peer/grant/peers.go
@@ -21,6 +21,10 @@
 	summaries map[cell.ID]summary
 	// wake is closed by notify; nil until someone waits.
 	wake chan struct{}
+	// notices counts the notices that this daemon was given itself, and
+	// confirmed how many of them each daemon is known to have.
+	notices   uint64
+	confirmed map[fleet.MemberID]uint64
 }
 
 type summary struct {
@@ -63,10 +67,18 @@
 	return p.wake
 }
 
-// notify wakes those who pass notices on.
+// noticesGiven returns the number of notices given so far.
+func (p *peers) noticesGiven() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.notices
+}
+
+// notify counts a notice and wakes those who pass notices on.
 func (p *peers) notify() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.notices++
 	if p.wake != nil {
 		close(p.wake)
 		p.wake = nil
@@ -106,3 +118,34 @@
 	}
 	p.summaries[id] = summary{Summary: s, until: now.Add(summaryWindow)}
 }
+
+// keep forgets the daemons that are not members any more.
+func (p *peers) keep(members []fleet.Member) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.confirmed) <= len(members) {
+		return
+	}
+	next := make(map[fleet.MemberID]uint64, len(members))
+	for _, m := range members {
+		next[m.ID] = p.confirmed[m.ID]
+	}
+	p.confirmed = next
+}
+
+// told notes that a daemon has the first n notices.
+func (p *peers) told(m fleet.MemberID, n uint64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.confirmed == nil {
+		p.confirmed = make(map[fleet.MemberID]uint64)
+	}
+	p.confirmed[m] = max(p.confirmed[m], n)
+}
+
+// toldAll reports whether a daemon has all notices.
+func (p *peers) toldAll(m fleet.MemberID) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.confirmed[m] >= p.notices
+}
--- a/internal/peer/grant/round.go
+++ b/internal/peer/grant/round.go
@@ -43,29 +43,28 @@
 	defer t.Stop()
 	noticed := c.peers.notified()
 	for {
-		toAll := false
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-noticed:
 			noticed = c.peers.notified()
-			toAll = true
 		case <-t.C:
 		}
-		c.demandRound(ctx, toAll)
+		c.demandRound(ctx)
 	}
 }
 
-// demandRound asks each keeper of a ledger once; with toAll every daemon hears
-// from this one.
-func (c *Client) demandRound(ctx context.Context, toAll bool) {
+// demandRound asks each keeper of a ledger once, and tells each daemon that
+// has not confirmed them the notices that this daemon was given.
+func (c *Client) demandRound(ctx context.Context) {
 	now := time.Now()
 	s := c.view.State()
+	c.peers.keep(s.Members)
 	messages := make(map[fleet.MemberID]*demandMessage)
 	message := func(m fleet.Member) *demandMessage {
 		v := messages[m.ID]
 		if v == nil {
-			v = &demandMessage{Entry: c.self.ID, Leaving: c.servers.Snapshot().Leaving}
+			v = &demandMessage{Entry: c.self.ID}
 			messages[m.ID] = v
 		}
 		return v
@@ -77,7 +76,7 @@
 		}
 	}
 	for _, m := range s.Members {
-		if toAll && m.ID != c.self.ID {
+		if m.ID != c.self.ID && !c.peers.toldAll(m.ID) {
 			message(m)
 		}
 	}
@@ -96,6 +95,8 @@
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
 	sent := time.Now()
+	notices := c.peers.noticesGiven()
+	m.Leaving = c.servers.Snapshot().Leaving
 	var a demandAnswer
 	var err error
 	if to == c.self.ID {
@@ -106,6 +107,7 @@
 	if err != nil || len(a.Shares) != len(m.Demands) {
 		return
 	}
+	c.peers.told(to, notices)
 	c.servers.Leave(time.Now(), a.Leaving...)
 	for i, v := range m.Demands {
 		c.limits.give(sent, v.Key, a.Shares[i])
@@ -144,27 +146,32 @@
 	if all {
 		last.allAt = now.Add(registerPeriod)
 	}
+	unsettled := c.running.unsettled(now)
 	lists, sequence := c.running.list(func(g gate.Grant) cell.ID {
 		id, _, _ := c.home(now, g.Server)
 		return id
 	})
 	next := registered{dispatchers: make(map[cell.ID]fleet.MemberID), running: make(map[cell.ID]bool), allAt: last.allAt}
 	ok := true
+	members := c.peers.reachable(now, s.Members)
 	for _, id := range c.cells(lists) {
-		m, found := id.Dispatcher(s.Members)
+		m, found := id.Dispatcher(members)
 		if !found {
 			continue
 		}
-		due := last.dispatchers[id] != m.ID || all && (len(lists[id]) > 0 || last.running[id])
+		due := unsettled || last.dispatchers[id] != m.ID || all && (len(lists[id]) > 0 || last.running[id])
 		r := cell.Registration{Entry: c.self.ID, Sequence: sequence, Running: lists[id]}
 		if due && !c.register(ctx, m, registerMessage{Cell: id, Registration: r, Leaving: c.servers.Snapshot().Leaving}) {
 			ok = false
 			continue
 		}
 		next.dispatchers[id] = m.ID
-		next.running[id] = len(lists[id]) > 0
+		next.running[id] = len(lists[id]) > 0 || last.running[id] && !due
 	}
 	*last = next
+	if ok && unsettled {
+		c.running.settle(now)
+	}
 	return ok
 }
 
@@ -201,13 +208,17 @@
 	} else {
 		err = c.caller.Call(ctx, to.ID.Address, wire.KindRegister, m, &a)
 	}
+	now := time.Now()
 	if err != nil {
+		c.peers.avoid(now, to.ID)
 		return false
 	}
-	now := time.Now()
 	c.servers.Leave(now, a.Leaving...)
+	if a.Moved {
+		return false
+	}
 	c.peers.summarise(now, m.Cell, a.Summary)
-	return !a.Moved
+	return true
 }
 
 // keeper returns the daemon that keeps the ledger of a limit.
