--- a/internal/control/cell/cell.go
+++ b/internal/control/cell/cell.go
@@ -54,9 +54,10 @@
 	scratch []Candidate[fleet.Workspace]
 	options []Option
 	states  []*serverState
-	// released are grants that ended of late, with when they may be
-	// forgotten: a registration made before may still name them.
-	released map[string]time.Time
+	// released are grants that ended of late: a registration made before may
+	// still name them. releases are the same in the order of their ends.
+	released map[string]struct{}
+	releases []release
 	// queued are the tenants with something waiting, a class.
 	queued [classes][]*tenant
 }
@@ -69,6 +70,13 @@
 	heardAt time.Time
 }
 
+// release is a grant that has ended.
+type release struct {
+	id string
+	// until is when it may be forgotten.
+	until time.Time
+}
+
 type grant struct {
 	id     string
 	ask    Ask
@@ -146,10 +154,7 @@
 		return nil
 	}
 	c.heard(now, g.ask.Entry)
-	if c.released == nil {
-		c.released = make(map[string]time.Time)
-	}
-	c.released[id] = now.Add(silentWindow)
+	c.remember(now, id)
 	g.server.ended(now, r.Outcome)
 	c.end(g)
 	if r.Outcome == gate.Completed {
@@ -185,11 +190,7 @@
 		c.refuse(now, it.ask, refusal.ReasonDeadline, now)
 		c.unqueue(it)
 	}
-	for id, until := range c.released {
-		if clock.Passed(now, until) {
-			delete(c.released, id)
-		}
-	}
+	c.forgetReleased(now)
 	c.servers.repace(now)
 	for _, g := range c.grants {
 		if c.lapsed(now, g) {
--- a/internal/control/cell/register.go
+++ b/internal/control/cell/register.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/clock"
@@ -77,3 +78,24 @@
 	c.asks[v.Ask] = &item{ask: g.ask, grant: g}
 	c.hold(g)
 }
+
+// forgetReleased forgets the releases that no registration can name any more.
+func (c *Cell) forgetReleased(now time.Time) {
+	n := 0
+	for n < len(c.releases) && clock.Passed(now, c.releases[n].until) {
+		delete(c.released, c.releases[n].id)
+		n++
+	}
+	if n > 0 {
+		c.releases = slices.Delete(c.releases, 0, n)
+	}
+}
+
+// remember keeps a released grant from being adopted again.
+func (c *Cell) remember(now time.Time, id string) {
+	if c.released == nil {
+		c.released = make(map[string]struct{})
+	}
+	c.released[id] = struct{}{}
+	c.releases = append(c.releases, release{id: id, until: now.Add(silentWindow)})
+}
