--- a/internal/control/cell/queue.go
+++ b/internal/control/cell/queue.go
@@ -86,18 +86,20 @@
 	spotAllowed [classes]bool
 }
 
+// oldest returns when the oldest waiting request of a class arrived. There is
+// at least one.
 func (t *tenant) oldest(class fleet.Class) time.Time {
-	a, b := t.queues[class][0].first(), t.queues[class][1].first()
-	switch {
-	case a == nil && b == nil:
-		return time.Time{}
-	case a == nil:
-		return b.ask.Since
-	case b == nil || a.ask.Since.Before(b.ask.Since):
-		return a.ask.Since
-	default:
-		return b.ask.Since
+	a, b := &t.queues[class][0], &t.queues[class][1]
+	if b.waiting == 0 {
+		return a.first().ask.Since
 	}
+	if a.waiting == 0 {
+		return b.first().ask.Since
+	}
+	if x, y := a.first().ask.Since, b.first().ask.Since; x.Before(y) {
+		return x
+	}
+	return b.first().ask.Since
 }
 
 func (t *tenant) queue(r *Ask) *queue {
--- a/internal/control/cell/register.go
+++ b/internal/control/cell/register.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/clock"
@@ -87,7 +86,7 @@
 		n++
 	}
 	if n > 0 {
-		c.releases = slices.Delete(c.releases, 0, n)
+		c.releases = c.releases[n:]
 	}
 }
 
@@ -96,6 +95,7 @@
 	if c.released == nil {
 		c.released = make(map[string]struct{})
 	}
+	c.forgetReleased(now)
 	c.released[id] = struct{}{}
 	c.releases = append(c.releases, release{id: id, until: now.Add(silentWindow)})
 }
