Ask the members at doubling distances, and faster when the view is about to lapse

Cause: members to ping were chosen at random from the whole set, so that in a large region nearly each ping set up a connection with a handshake of its own.

--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -21,6 +22,18 @@
 	NoContact Age = 255
 )
 
+const (
+	// PingEvery is the time between two decisions on pings.
+	PingEvery = 200 * time.Millisecond
+	// calmTicks is how many PingEvery apart pings are while nothing presses.
+	calmTicks = 2
+	// urgentLeft is how soon a view must lapse for pings to be urgent. Reads of
+	// the table keep more than that.
+	urgentLeft = time.Second
+	// urgentPings is how many pings go out at once then.
+	urgentPings = 3
+)
+
 // probeEvery is how many pings are sent for one to a member that does not
 // answer.
 const probeEvery = 5
@@ -80,6 +93,8 @@
 	// known is at least held, in each kind.
 	known member.Held
 	set   member.Set
+	// ticks counts the calls of Pings.
+	ticks int
 	// picks counts the targets picked.
 	picks int
 }
@@ -181,28 +196,52 @@
 	return l
 }
 
-// Pick returns the member to ping next, chosen by r: one that answers, and now
-// and then one that does not. It is false when there is no other member.
+// Pick returns the member to ping next: one that answers, and now and then one
+// that does not, chosen by r. It is false when there is no other member.
+//
+// Those that answer are taken at distances of 1, 2, 4 and so on around the set,
+// in turn. What members pass on so reaches all in as many pings as the distances
+// that there are, as with members chosen at random; and a daemon keeps
+// connections to few.
 func (v *View) Pick(now time.Time, r *rand.Rand) (fleet.Member, bool) {
-	var heard, silent []fleet.Member
+	var ring, silent []fleet.Member
+	self := 0
 	for _, m := range v.set.Members {
 		switch {
 		case m.ID == v.Self.ID:
+			self = len(ring)
+			ring = append(ring, m)
 		case time.Duration(v.age(now, m.ID))*AgeUnit > ContactWindow:
 			silent = append(silent, m)
 		default:
-			heard = append(heard, m)
+			ring = append(ring, m)
 		}
 	}
-	v.picks++
-	from := heard
-	if len(from) == 0 || len(silent) > 0 && v.picks%probeEvery == 0 {
-		from = silent
+	if !v.set.Contains(v.Self.ID) {
+		ring = append([]fleet.Member{v.Self}, ring...)
 	}
-	if len(from) == 0 {
+	v.picks++
+	alone := len(ring) == 1
+	if alone && len(silent) == 0 {
 		return fleet.Member{}, false
 	}
-	return from[r.IntN(len(from))], true
+	if alone || len(silent) > 0 && v.picks%probeEvery == 0 {
+		return silent[r.IntN(len(silent))], true
+	}
+	distances := bits.Len(uint(len(ring) - 1))
+	distance := 1 << (v.picks % distances)
+	return ring[(self+distance)%len(ring)], true
+}
+
+// Pings returns how many pings to send at now, when asked once each PingEvery:
+// fewer than one each time while the table confirms, several when the view is
+// about to lapse.
+func (v *View) Pings(now time.Time) int {
+	v.ticks++
+	if clock.Elapsed(now, v.ConfirmedUntil()) < urgentLeft {
+		return urgentPings
+	}
+	return v.ticks % calmTicks / (calmTicks - 1)
 }
 
 // Set returns the set held.
