Fetch again at once only for news

Cause: while something known could not be fetched, each look at the lack published, which woke the next fetch: a busy loop. TestMatrixWithdrawal did not end (its cells with the table down after the commit spun without time going on).

After: only a change of what is lacking wakes the fetching, which otherwise keeps its interval.

--- /dev/null
+++ b/internal/peer/member/cluster_test.go
@@ -0,0 +1,271 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/loop"
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+	"github.com/lacewingtally/lacewingtally/internal/peer/member"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+// daemon is one Runtime under test.
+type daemon struct {
+	*member.Runtime
+	gate *gate
+	loop *loop.Loop
+	self fleet.Member
+	// halt ends the control goroutine before the rest, as a crash does.
+	halt context.CancelFunc
+	stop context.CancelFunc
+	// path is the daemon's own path to the table.
+	path *path
+	done sync.WaitGroup
+	// ended is whether the daemon was killed.
+	ended atomic.Bool
+}
+
+// gate stops whatever passes it while it is closed. The zero value is open.
+type gate struct {
+	mutex  sync.Mutex
+	closed chan struct{}
+}
+
+func (g *gate) Close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed == nil {
+		g.closed = make(chan struct{})
+	}
+}
+
+func (g *gate) Open() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed != nil {
+		close(g.closed)
+		g.closed = nil
+	}
+}
+
+func (g *gate) Shut() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.closed != nil
+}
+
+func (g *gate) Pass() {
+	g.mutex.Lock()
+	c := g.closed
+	g.mutex.Unlock()
+	if c != nil {
+		<-c
+	}
+}
+
+// path is one daemon's path to the table.
+type path struct {
+	table.Table
+	gate  *gate
+	mutex sync.Mutex
+	cut   bool
+	delay time.Duration
+}
+
+func (p *path) Commit(ctx context.Context, t table.Txn) error {
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	defer p.gate.Pass()
+	return p.Table.Commit(ctx, t)
+}
+
+func (p *path) Read(ctx context.Context, keys ...table.Key) ([]table.Row, error) {
+	if err := p.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer p.gate.Pass()
+	return p.Table.Read(ctx, keys...)
+}
+
+func (p *path) Set(cut bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cut = cut
+}
+
+func (p *path) Slow(d time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delay = d
+}
+
+func (p *path) enter(ctx context.Context) error {
+	p.gate.Pass()
+	p.mutex.Lock()
+	cut, delay := p.cut, p.delay
+	p.mutex.Unlock()
+	if cut {
+		return table.ErrUnavailable
+	}
+	select {
+	case <-ctx.Done():
+		return table.ErrUnavailable
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+// gatedCaller is a daemon's path to its peers.
+type gatedCaller struct {
+	wire.Caller
+	gate *gate
+}
+
+func (c gatedCaller) Call(ctx context.Context, to netip.AddrPort, k wire.Kind, q, a any) error {
+	c.gate.Pass()
+	defer c.gate.Pass()
+	return c.Caller.Call(ctx, to, k, q, a)
+}
+
+// cluster is a few daemons on a network and a table in memory.
+type cluster struct {
+	t       *testing.T
+	network *wire.Memory
+	table   *table.Memory
+	// mutex guards what follows.
+	mutex   sync.Mutex
+	daemons []*daemon
+	boots   int
+}
+
+func newCluster(t *testing.T) *cluster {
+	return &cluster{t: t, network: &wire.Memory{}, table: &table.Memory{}}
+}
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(n >> 8), byte(n)}), 9000)
+}
+
+// start boots a daemon at an address of a region.
+func (c *cluster) start(n int, region fleet.Region, options ...member.Option) *daemon {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.boots++
+	g := &gate{}
+	d := &daemon{gate: g, loop: loop.New(), path: &path{Table: c.table, gate: g}}
+	d.self = fleet.Member{
+		ID:     fleet.MemberID{Address: address(n), Incarnation: fleet.Incarnation(fmt.Sprint(c.boots))},
+		Region: region,
+	}
+	control, halt := context.WithCancel(context.Background())
+	ctx, stop := context.WithCancel(control)
+	d.halt, d.stop = halt, stop
+	inner, outer := &wire.Mux{}, &wire.Mux{}
+	for _, k := range []wire.Kind{wire.KindPing, wire.KindView} {
+		outer.Handle(k, func(ctx context.Context, from netip.AddrPort, body []byte) (any, error) {
+			g.Pass()
+			defer g.Pass()
+			return inner.Handler(k)(ctx, from, body)
+		})
+	}
+	caller := gatedCaller{Caller: c.network.Attach(address(n), outer), gate: g}
+	d.Runtime = member.New(d.loop, table.Settle{Table: d.path}, caller, d.self, options...)
+	d.Register(inner)
+	d.done.Go(func() { _ = d.loop.Serve(control) })
+	d.done.Go(func() {
+		_ = d.Serve(ctx)
+		halt()
+	})
+	c.daemons = append(c.daemons, d)
+	return d
+}
+
+// freeze stops a daemon's control goroutine and all its calls until thaw.
+func (c *cluster) freeze(d *daemon) {
+	if d.gate.Shut() || d.ended.Load() {
+		return
+	}
+	d.gate.Close()
+	d.done.Go(func() {
+		_ = d.loop.Do(context.Background(), func(time.Time) { d.gate.Pass() })
+	})
+}
+
+// kill ends a daemon without its taking itself out.
+func (c *cluster) kill(d *daemon) {
+	c.network.Attach(d.self.ID.Address, nil)
+	d.path.Set(true)
+	d.gate.Open()
+	d.ended.Store(true)
+	d.halt()
+	d.done.Wait()
+}
+
+func (c *cluster) close() {
+	for _, d := range c.all() {
+		d.gate.Open()
+		d.stop()
+	}
+	for _, d := range c.all() {
+		d.done.Wait()
+	}
+}
+
+// all returns the daemons, ended ones included.
+func (c *cluster) all() []*daemon {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Clone(c.daemons)
+}
+
+// at returns one daemon.
+func (c *cluster) at(i int) *daemon {
+	return c.all()[i]
+}
+
+func (c *cluster) apply(base fleet.ConfigRevision, doc config.Config) config.Config {
+	got, err := config.Store{Table: table.Settle{Table: c.table}}.Apply(context.Background(), base, doc, "op", "test")
+	must.NoError(c.t, err)
+	return got
+}
+
+// cutPeers cuts a daemon off from all peers, both ways.
+func (c *cluster) cutPeers(d *daemon, cut wire.Cut) {
+	for _, o := range c.all() {
+		if o != d {
+			c.cutLink(d, o, cut)
+		}
+	}
+}
+
+// cutLink cuts two daemons off from each other, both ways.
+func (c *cluster) cutLink(a, b *daemon, cut wire.Cut) {
+	c.network.Cut(a.self.ID.Address, b.self.ID.Address, cut)
+	c.network.Cut(b.self.ID.Address, a.self.ID.Address, cut)
+}
+
+// heal mends every fault of the network and of the paths to the table.
+func (c *cluster) heal() {
+	c.table.Fault = nil
+	for _, d := range c.all() {
+		c.cutPeers(d, 0)
+		if d.ended.Load() {
+			continue
+		}
+		d.path.Set(false)
+		d.path.Slow(0)
+		d.gate.Open()
+	}
+}
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -88,6 +88,9 @@
 	config     *config.Snapshot
 	confirmed  bool
 	evidence   member.Evidence
+	// lack is what the last publish found lacking. Only news wake the
+	// fetching, which otherwise tries again at its interval.
+	lack view.Lack
 	// left is whether the daemon has taken itself out.
 	left bool
 	// others holds the sets of the other regions.
@@ -251,7 +254,8 @@
 	old := r.state.Load().state
 	until := c.view.ConfirmedUntil()
 	r.noticeConfirmed(now, until)
-	if l := c.view.Lacks(); l != (view.Lack{}) {
+	if l := c.view.Lacks(); l != c.lack {
+		c.lack = l
 		r.fetchNow()
 	}
 	if c.config == old.Config && until.Sub(old.ConfirmedUntil) < publishStep && sameMembers(old.Members, r.members(now)) {
