--- a/internal/control/claim/sweep.go
+++ b/internal/control/claim/sweep.go
@@ -16,7 +16,7 @@
 	// sweepInterval is the time between two pages of one daemon's sweep.
 	sweepInterval = 30 * time.Second
 	// sweepLimit bounds the rows of one page.
-	sweepLimit = 500
+	sweepLimit = 100
 )
 
 // sweeper deletes the claims whose retention has ended, a page at a time. Every
