--- a/internal/control/limit/ledger.go
+++ b/internal/control/limit/ledger.go
@@ -57,8 +57,10 @@
 
 // Ask records a daemon's demand and returns its share of the limit, from 0 to 1. members is the number of daemons that may spend.
 //
-// The shares given out and an equal share for each daemon that has none never
-// add up to more than 1 in one ledger.
+// A daemon is never refused its fair share up to an equal share. What exceeds
+// that is given only as far as the shares of the others, and an equal share for
+// each daemon that has none, leave it free. So the shares add up to 1 once each
+// daemon has asked, and to less than 2 while others may still spend older ones.
 func (l *Ledger) Ask(now time.Time, k Key, m fleet.MemberID, demand float64, members int) float64 {
 	a := l.account(now, k)
 	a.age(now)
@@ -70,7 +72,7 @@
 	if clock.Passed(now, a.equalUntil) {
 		share = a.fair(m, equal)
 	}
-	share = min(share, a.free(m, members, equal))
+	share = min(share, max(a.free(m, members, equal), equal))
 	h.given = append(h.given, given{part: share, until: now.Add(holdWindow)})
 	a.holders[m] = h
 	return share
