Bear a server's silence longer with each attempt

Cause: three seconds of silence cut services and engines that were only slow, and one that was slow everywhere never answered. Before: every attempt bore three seconds. After: the first attempt of what may be repeated does, so that a connection gone silent is left as soon as before; each later one bears twice as much, up to 24 seconds; what may not be repeated has ten seconds. The kernel's keep-alive probes, a second apart, find lost connections meanwhile (not tested: it takes a network that drops packets). TestSlowServersGetTheirTime fails with a constant three seconds.

--- a/internal/backend/exchange/conn.go
+++ b/internal/backend/exchange/conn.go
@@ -24,15 +24,15 @@
 // conn is the connection of one exchange.
 type conn struct {
 	net.Conn
-	// progress bounds each read and each write.
-	progress time.Duration
+	// patience bounds each read and each write.
+	patience time.Duration
 	// state is unwritten, written or sealed, and leaves unwritten once.
 	state atomic.Int32
 }
 
 // Read implements net.Conn. It fails when the server stays silent.
 func (c *conn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.progress)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.patience)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(b)
@@ -43,7 +43,7 @@
 	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == sealed {
 		return 0, errSealed
 	}
-	if err := c.SetWriteDeadline(time.Now().Add(c.progress)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(c.patience)); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -21,8 +21,14 @@
 const (
 	// DialTimeout bounds the making of a connection.
 	DialTimeout = time.Second
-	// ProgressTimeout bounds the silence of a server between two reads.
-	ProgressTimeout = 3 * time.Second
+	// Patience bounds the silence of a server when WithPatience does not.
+	Patience = 3 * time.Second
+
+	// keepAliveInterval and keepAliveCount are of the kernel's probes, which
+	// find a connection that the network has lost track of also while its
+	// server is allowed to be silent.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
 )
 
 // NotRunHeader is set to "true" by a server on an answer that states that it
@@ -50,19 +56,21 @@
 // goroutine.
 type Client struct {
 	dial      Dial
-	progress  time.Duration
 	transport *http.Transport
 }
 
 // Dial makes a connection to a server.
 type Dial func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 
+// patienceKey is the key of WithPatience's value.
+type patienceKey struct{}
+
 // Option changes a Client.
 type Option func(*Client)
 
 // New returns a Client.
 func New(options ...Option) *Client {
-	c := &Client{dial: dialTCP, progress: ProgressTimeout}
+	c := &Client{dial: dialTCP}
 	for _, o := range options {
 		o(c)
 	}
@@ -80,9 +88,10 @@
 	return func(c *Client) { c.dial = d }
 }
 
-// WithProgressTimeout bounds the silence of a server by d.
-func WithProgressTimeout(d time.Duration) Option {
-	return func(c *Client) { c.progress = d }
+// WithPatience bounds the silence of the server, between two reads, in an
+// exchange with the returned context.
+func WithPatience(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, patienceKey{}, d)
 }
 
 // Do sends r once, on a new connection. Its errors are ErrNotSent, ErrCut and
@@ -125,13 +134,17 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "exchange: address")
 	}
+	patience, ok := ctx.Value(patienceKey{}).(time.Duration)
+	if !ok {
+		patience = Patience
+	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	n, err := c.dial(ctx, to)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, progress: c.progress}, nil
+	return &conn{Conn: n, patience: patience}, nil
 }
 
 func classify(n *conn, err error) error {
@@ -142,7 +155,12 @@
 }
 
 func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveInterval,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}}
 	return d.DialContext(ctx, "tcp", to.String())
 }
 
--- /dev/null
+++ b/internal/caller/proxy/patience_test.go
@@ -0,0 +1,60 @@
+package proxy_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+	"github.com/lacewingtally/lacewingtally/internal/standin/link"
+	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
+)
+
+// TestSilentConnectionIsLeftSoon silences a stream in its middle.
+func TestSilentConnectionIsLeftSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var once atomic.Bool
+		silence := func(e link.Event) link.Action {
+			if e.Step == link.StepRead && e.Index == middleRead && once.CompareAndSwap(false, true) {
+				return link.Action{Fault: link.FaultSilent}
+			}
+			return link.Action{}
+		}
+		f := newFixture(t, fixtureOptions{engines: 2, decide: silence})
+		defer f.close()
+		begun := time.Now()
+		text, err := f.generate(0, key, "ovens", nil)
+		must.NoError(t, err)
+		must.EqOp(t, standengine.Text("ovens", 7, 0, tokens), text)
+		must.Less(t, 4*time.Second, time.Since(begun))
+		must.Greater(t, 2*time.Second, time.Since(begun))
+	})
+}
+
+// TestSlowServersGetTheirTime generates a token every five seconds.
+func TestSlowServersGetTheirTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fixtureOptions{engines: 3, engine: []standengine.Option{standengine.WithTokensPerSecond(0.2)}})
+		defer f.close()
+		text, err := f.generate(0, key, "ovens", nil)
+		must.NoError(t, err)
+		must.EqOp(t, standengine.Text("ovens", 7, 0, tokens), text)
+	})
+}
+
+// TestSlowServiceRunsOnce answers a request that may not be repeated after
+// eight seconds.
+func TestSlowServiceRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, fixtureOptions{services: 2})
+		defer f.close()
+		f.services[0].SetFaults(standservice.Fault{Kind: standservice.FaultSlow, Down: 8000})
+		status, _, _ := f.post(0, "/bookings", "id-1", "two", nil)
+		must.EqOp(t, http.StatusOK, status)
+		must.EqOp(t, 1, f.runs("id-1"))
+	})
+}
--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -60,7 +60,7 @@
 			p.release(ctx, g, apart, attempt.ResultStopped, 0)
 			return p.run.Deny(refusal.ReasonServer, time.Time{}, nil)
 		}
-		tokens, err := s(ctx, g)
+		tokens, err := s(exchange.WithPatience(ctx, p.patience()), g)
 		result := resultOf(ctx, err)
 		condemned := p.blame(ctx, g, apart, result, err)
 		p.release(ctx, g, apart, result, tokens)
@@ -179,6 +179,14 @@
 	return p.run.Deny(refusal.ReasonCancelled, time.Time{}, e)
 }
 
+// patience is how long the server may be silent in this attempt.
+func (p *placement) patience() time.Duration {
+	if !p.run.Repeatable {
+		return oncePatience
+	}
+	return min(firstPatience<<p.run.Retries(), lastPatience)
+}
+
 func (p *placement) prepare(ctx context.Context) (bool, error) {
 	if p.before == nil {
 		return false, nil
--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -21,6 +21,14 @@
 	bodyLimit = 8 << 20
 	// defaultPatience is how long a request without a deadline may take.
 	defaultPatience = 10 * time.Minute
+	// firstPatience bounds the silence of a server in the first attempt of a
+	// repeatable request. Each later attempt bears twice as much, up to
+	// lastPatience: the first one leaves a connection that went silent soon,
+	// the later ones leave a slow server its time.
+	firstPatience = 3 * time.Second
+	lastPatience  = 24 * time.Second
+	// oncePatience is that for a request that may not be repeated.
+	oncePatience = 10 * time.Second
 	// idLimit bounds a request ID, in bytes.
 	idLimit = 256
 	// reserveWait is the wait for the reservation of a server.
--- a/internal/control/attempt/run.go
+++ b/internal/control/attempt/run.go
@@ -137,6 +137,11 @@
 	return r.again(now, result, cause)
 }
 
+// Retries returns the number of attempts begun after the first one.
+func (r *Run) Retries() int {
+	return max(r.attempts-1, 0)
+}
+
 // State returns what is known of the request.
 func (r *Run) State() State {
 	if r.ran && r.state != Answered {
