Blame no request for a server that the network lost

Cause: a crash makes suspects of all that ran on the server, which then run one by one; a lost VM or failure domain, or one that leaves, did the same to all of its requests, though no request can be at fault there. Before: any failure of the status asked for after a cut counted as a crash.

--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -142,10 +143,7 @@
 	return nil
 }
 
-// explain turns ErrCut into a CrashError when the run named boot is over. An
-// attempt that no run has answered to may have come to an engine that was down
-// already; it is then taken for one that ran only if nothing listens any more,
-// for else it would not have been connected.
+// explain turns ErrCut into a CrashError when the run named boot is over.
 func (h *HTTP) explain(ctx context.Context, boot string, err error) error {
 	if !errors.Is(err, ErrCut) || ctx.Err() != nil {
 		return err
@@ -153,16 +151,30 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, probe := h.Status(ctx)
-	over := errors.Is(probe, ErrNotSent)
-	if boot != "" {
-		over = probe != nil || s.Boot != boot
-	}
-	if over {
+	if over(boot, s, probe) {
 		return &CrashError{Boot: boot, Cause: err}
 	}
 	return err
 }
 
+// over reports whether a run has ended, by the status asked for after its answer
+// was cut. An engine that can't be reached, or is silent, may still run, and a
+// lost VM is no fault of a request. An attempt that no run has answered to may
+// have come to an engine that was down already: it counts as one that ran only
+// if nothing listens any more, for else it would not have been connected.
+func over(boot string, s Status, probe error) bool {
+	switch {
+	case errors.Is(probe, syscall.ECONNREFUSED):
+		return true
+	case boot == "":
+		return false
+	case probe == nil:
+		return s.Boot != boot
+	default:
+		return errors.Is(probe, ErrCut) && !exchange.TimedOut(probe)
+	}
+}
+
 func (h *HTTP) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
 	u := url.URL{Scheme: "http", Host: h.address.String(), Path: path}
 	var body io.Reader
--- a/internal/backend/exchange/exchange.go
+++ b/internal/backend/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -117,13 +118,14 @@
 	return a, nil
 }
 
-// Reachable reports whether a new connection to the server can be made.
-func (c *Client) Reachable(ctx context.Context, to netip.AddrPort) bool {
+// Listens reports whether the server takes connections. Only one that refuses
+// them does not: a server that can't be reached may still run.
+func (c *Client) Listens(ctx context.Context, to netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
 	n, err := c.dial(ctx, to)
 	if err != nil {
-		return false
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	n.Close()
 	return true
@@ -149,9 +151,9 @@
 
 func classify(n *conn, err error) error {
 	if n == nil || n.seal() {
-		return errors.Wrap(ErrNotSent, err.Error())
+		return &Error{Kind: ErrNotSent, Cause: err}
 	}
-	return errors.Wrap(ErrCut, err.Error())
+	return &Error{Kind: ErrCut, Cause: err}
 }
 
 func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
--- a/internal/backend/service/http.go
+++ b/internal/backend/service/http.go
@@ -48,10 +48,9 @@
 	return answer, nil
 }
 
-// explain turns ErrCut into ErrCrashed when the server takes no connections
-// any more.
+// explain turns ErrCut into ErrCrashed when the server refuses connections.
 func (h *HTTP) explain(ctx context.Context, to netip.AddrPort, err error) error {
-	if !errors.Is(err, ErrCut) || ctx.Err() != nil || h.client.Reachable(ctx, to) {
+	if !errors.Is(err, ErrCut) || ctx.Err() != nil || h.client.Listens(ctx, to) {
 		return err
 	}
 	return errors.Wrap(ErrCrashed, err.Error())
--- a/internal/caller/proxy/poison_test.go
+++ b/internal/caller/proxy/poison_test.go
@@ -1,7 +1,9 @@
 package proxy_test
 
 import (
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,9 +11,12 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+	"github.com/lacewingtally/lacewingtally/internal/standin/link"
 )
 
 // innocents run beside a request that crashes its servers.
@@ -109,3 +114,48 @@
 	must.Positive(t, r.RetryAfter.AsDuration(), note...)
 	return r
 }
+
+// TestLostServerBlamesNobody loses a server to the network, with its connections
+// silent and new ones unanswered, and a leaving one to a crash.
+func TestLostServerBlamesNobody(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var lost atomic.Bool
+			silence := func(e link.Event) link.Action {
+				if lost.Load() && e.To == address(1, 0) {
+					return link.Action{Fault: link.FaultSilent}
+				}
+				return link.Action{}
+			}
+			f := newFixture(t, fixtureOptions{
+				engines: 2, decide: silence, engine: []standengine.Option{standengine.WithTokensPerSecond(10)},
+			})
+			defer f.close()
+			var w sync.WaitGroup
+			for _, prompt := range innocents {
+				w.Go(func() {
+					text, err := f.generate(0, key, prompt, nil)
+					must.NoError(t, err)
+					must.EqOp(t, standengine.Text(prompt, 7, 0, tokens), text)
+				})
+			}
+			time.Sleep(550 * time.Millisecond)
+			if leaving {
+				f.source.change(func(s *view.State) {
+					s.Servers = slices.Clone(s.Servers)
+					s.Servers[0].State = fleet.StateLeaving
+				})
+				f.engines[0].Crash(time.Hour)
+			}
+			lost.Store(!leaving)
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				for _, prompt := range innocents {
+					e := f.daemons[0].suspects.Check(time.Now(), quarantine.Of("bakers", "assistant", prompt))
+					must.EqOp(t, quarantine.Clear, e.Standing)
+				}
+			}
+			w.Wait()
+		})
+	}
+}
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,14 +83,14 @@
 	l := n.listeners[to]
 	n.mutex.Unlock()
 	if l == nil {
-		return nil, errors.Wrapf(ErrBroken, "nothing listens on %v", to)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "link: %v", to)
 	}
 	client, server := net.Pipe()
 	select {
 	case l.queue <- server:
 		return n.wrap(client, to), nil
 	case <-l.closed:
-		return nil, errors.Wrapf(ErrBroken, "nothing listens on %v", to)
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "link: %v", to)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
