--- a/internal/backend/engine/http.go
+++ b/internal/backend/engine/http.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -10,6 +9,7 @@
 	"net/netip"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,12 +31,8 @@
 )
 
 const (
-	// lineLimit bounds one chunk of a stream, in bytes.
-	lineLimit = 1 << 20
 	// probeTimeout bounds the question whether an engine still runs.
 	probeTimeout = 2 * time.Second
-	// readBuffer is the size of the read buffer of a stream, in bytes.
-	readBuffer = 4 << 10
 )
 
 // Errors of an Engine.
@@ -61,14 +57,30 @@
 	client  *exchange.Client
 	// doubled counts the chunks dropped because they had come before.
 	doubled atomic.Uint64
+	// pace is how long to wait between two reads of a stream; nil is not at
+	// all.
+	pace func() time.Duration
 }
 
+// Option changes an HTTP.
+type Option func(*HTTP)
+
 // NewHTTP returns the engine at an address. A nil client has the defaults.
-func NewHTTP(address netip.AddrPort, client *exchange.Client) *HTTP {
+func NewHTTP(address netip.AddrPort, client *exchange.Client, options ...Option) *HTTP {
 	if client == nil {
 		client = exchange.New()
 	}
-	return &HTTP{address: address, client: client}
+	h := &HTTP{address: address, client: client}
+	for _, o := range options {
+		o(h)
+	}
+	return h
+}
+
+// WithPace waits for pace() after each read of a stream, so that what comes
+// meanwhile is read and given on at once.
+func WithPace(pace func() time.Duration) Option {
+	return func(h *HTTP) { h.pace = pace }
 }
 
 // Doubled returns how many chunks were dropped because they had come before.
@@ -97,7 +109,7 @@
 	if a.Header.Get(AttemptHeader) != r.Attempt {
 		return errors.Wrap(ErrProtocol, "answer to another attempt")
 	}
-	err = h.stream(a.Body, r, emit)
+	err = h.stream(ctx, a.Body, r, emit)
 	return h.explain(ctx, a.Header.Get(BootHeader), err)
 }
 
@@ -131,10 +143,7 @@
 	return nil
 }
 
-// explain turns ErrCut into a CrashError when the run named boot is over. An
-// attempt that no run has answered to may have come to an engine that was down
-// already; it is then taken for one that ran only if nothing listens any more,
-// for else it would not have been connected.
+// explain turns ErrCut into a CrashError when the run named boot is over.
 func (h *HTTP) explain(ctx context.Context, boot string, err error) error {
 	if !errors.Is(err, ErrCut) || ctx.Err() != nil {
 		return err
@@ -142,16 +151,30 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s, probe := h.Status(ctx)
-	over := errors.Is(probe, ErrNotSent)
-	if boot != "" {
-		over = probe != nil || s.Boot != boot
-	}
-	if over {
+	if over(boot, s, probe) {
 		return &CrashError{Boot: boot, Cause: err}
 	}
 	return err
 }
 
+// over reports whether a run has ended, by the status asked for after its answer
+// was cut. An engine that can't be reached, or is silent, may still run, and a
+// lost VM is no fault of a request. An attempt that no run has answered to may
+// have come to an engine that was down already: it counts as one that ran only
+// if nothing listens any more, for else it would not have been connected.
+func over(boot string, s Status, probe error) bool {
+	switch {
+	case errors.Is(probe, syscall.ECONNREFUSED):
+		return true
+	case boot == "":
+		return false
+	case probe == nil:
+		return s.Boot != boot
+	default:
+		return errors.Is(probe, ErrCut) && !exchange.TimedOut(probe)
+	}
+}
+
 func (h *HTTP) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
 	u := url.URL{Scheme: "http", Host: h.address.String(), Path: path}
 	var body io.Reader
@@ -170,36 +193,70 @@
 	return h.client.Do(r)
 }
 
-func (h *HTTP) stream(body io.Reader, r Request, emit func(Chunk) error) error {
-	s := bufio.NewScanner(body)
-	s.Buffer(make([]byte, 0, readBuffer), lineLimit)
-	s.Split(wholeLines)
+// stream reads an answer to its end mark. Chunks that have come together are
+// given on together.
+func (h *HTTP) stream(ctx context.Context, body io.Reader, r Request, emit func(Chunk) error) error {
+	l := newLines(body)
+	j := joiner{emit: emit}
 	next := r.Offset
-	for s.Scan() {
-		if len(s.Bytes()) == 0 {
-			// Engines send empty lines while an attempt waits.
-			continue
-		}
-		c, fresh, err := check(s.Bytes(), r.Attempt, next)
+	for {
+		c, fresh, err := h.next(l, r.Attempt, next)
 		if err != nil {
-			return err
+			return j.fail(err)
+		}
+		if fresh {
+			next += c.Tokens
+			if err := j.add(c); err != nil {
+				return err
+			}
 		}
-		if !fresh {
-			h.doubled.Add(1)
+		if l.buffered() && !c.End {
 			continue
 		}
-		next += c.Tokens
-		if err := emit(c); err != nil {
+		if err := j.flush(); err != nil || c.End {
 			return err
 		}
-		if c.End {
-			return nil
+		if err := h.wait(ctx); err != nil {
+			return err
 		}
 	}
-	if err := s.Err(); err != nil {
-		return errors.Wrap(ErrCut, err.Error())
+}
+
+// next reads the next chunk and reports whether it is new. Engines send empty
+// lines while an attempt waits.
+func (h *HTTP) next(l *lines, attempt string, next int) (Chunk, bool, error) {
+	b, err := l.next()
+	if err != nil {
+		return Chunk{}, false, errors.Wrap(ErrCut, err.Error())
+	}
+	if len(b) == 0 {
+		return Chunk{}, false, nil
+	}
+	c, fresh, err := check(b, attempt, next)
+	if err == nil && !fresh {
+		h.doubled.Add(1)
+		return Chunk{}, false, nil
+	}
+	return c, fresh, err
+}
+
+// wait keeps the pace between two reads.
+func (h *HTTP) wait(ctx context.Context) error {
+	if h.pace == nil {
+		return nil
+	}
+	d := h.pace()
+	if d <= 0 {
+		return nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ErrCut, ctx.Err().Error())
 	}
-	return errors.Wrap(ErrCut, "end mark missing")
 }
 
 // exportRequest asks for the KV cache of an attempt.
@@ -228,12 +285,3 @@
 	}
 	return c, false, nil
 }
-
-// wholeLines is a bufio.SplitFunc that leaves out an unfinished last line.
-func wholeLines(b []byte, _ bool) (int, []byte, error) {
-	i := bytes.IndexByte(b, '\n')
-	if i < 0 {
-		return 0, nil, nil
-	}
-	return i + 1, b[:i], nil
-}
