--- a/internal/caller/rollout/failure.go
+++ b/internal/caller/rollout/failure.go
@@ -1,16 +1,13 @@
 package rollout
 
 import (
-	"fmt"
-	"math"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/types/known/durationpb"
 
-	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/caller/proxy"
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
 )
 
@@ -28,29 +25,5 @@
 
 // refuse turns a refusal into a connect error with its detail.
 func refuse(r *refusal.Error) error {
-	code := connect.CodeUnavailable
-	if r.Reason == refusal.ReasonKey {
-		code = connect.CodeUnauthenticated
-	}
-	e := connect.NewError(code, errors.New(r.Error()))
-	d := &callerv1.Refusal{Kind: kindOf(r), Reason: string(r.Reason)}
-	if !r.RetryAt.IsZero() {
-		wait := max(0, time.Until(r.RetryAt))
-		d.RetryAfter = durationpb.New(wait)
-		e.Meta().Set("Retry-After", fmt.Sprint(int(math.Ceil(wait.Seconds()))))
-	}
-	if detail, err := connect.NewErrorDetail(d); err == nil {
-		e.AddDetail(detail)
-	}
-	return e
-}
-
-func kindOf(r *refusal.Error) callerv1.Refusal_Kind {
-	switch {
-	case errors.Is(r, refusal.ErrNotRun):
-		return callerv1.Refusal_KIND_NOT_RUN
-	case errors.Is(r, refusal.ErrMayHaveRun):
-		return callerv1.Refusal_KIND_MAY_HAVE_RUN
-	}
-	return callerv1.Refusal_KIND_GAVE_UP
+	return proxy.ConnectError(time.Now(), r)
 }
--- a/internal/control/scale/duty.go
+++ b/internal/control/scale/duty.go
@@ -40,9 +40,10 @@
 
 	book    Book
 	planner Planner
-	row     fence.Row
-	// learned is whether book shows the table's rows of the current epoch.
-	learned bool
+	// epoch is the one that book and newest belong to; 0 is none.
+	epoch fleet.Epoch
+	// newest holds while epoch is the newest of the lease.
+	newest table.Condition
 	// names counts the orders of this process, for their IDs.
 	names uint64
 }
@@ -53,7 +54,6 @@
 ) *Duty {
 	return &Duty{
 		demand: d, domains: domains, events: e, region: r, service: s, table: t, view: v,
-		row: fence.Row{Key: table.Key(fmt.Sprintf("Orders/%s/Epoch", r))},
 	}
 }
 
@@ -67,7 +67,7 @@
 	err := d.step(ctx, c)
 	if err != nil {
 		// What the table holds after an error is not known.
-		d.learned = false
+		d.epoch = 0
 	}
 	return err
 }
@@ -83,7 +83,7 @@
 	d.book.Reconcile(lines)
 	targets := d.targets(time.Now())
 	for range roundsAStep {
-		steps := d.book.Next(time.Now(), d.row.Epoch(), targets, d.name)
+		steps := d.book.Next(time.Now(), d.epoch, targets, d.name)
 		if len(steps) == 0 {
 			return nil
 		}
@@ -127,17 +127,19 @@
 	return nil
 }
 
-// learn raises the epoch's row and reads the intents and targets that earlier
-// holders left. It comes before anything else of an epoch.
+// learn reads the intents and targets that earlier holders left. It comes
+// before anything else of an epoch, and after the epoch's row was written: no
+// earlier holder can add an intent to those read here.
 func (d *Duty) learn(ctx context.Context, c lease.Charge) error {
 	epoch, _, err := c.Check(time.Now())
 	if err != nil {
 		return err
 	}
-	if d.learned && d.row.Epoch() == epoch {
+	if d.epoch == epoch {
 		return nil
 	}
-	if err := d.row.Raise(ctx, d.table, epoch); err != nil {
+	newest, err := fence.Condition(ctx, d.table, d.region, lease.Orders, epoch)
+	if err != nil {
 		return err
 	}
 	intents, err := scan[Intent](ctx, d.table, d.prefix("Intent"))
@@ -149,13 +151,13 @@
 		return err
 	}
 	d.book.Learn(time.Now(), intents, placed)
-	d.learned = true
+	d.epoch, d.newest = epoch, newest
 	return nil
 }
 
 func (d *Duty) name() order.ID {
 	d.names++
-	return order.ID(fmt.Sprintf("%s/%d/%d", d.region, d.row.Epoch(), d.names))
+	return order.ID(fmt.Sprintf("%s/%d/%d", d.region, d.epoch, d.names))
 }
 
 // place writes an intent, which only the newest epoch can, and then the order.
@@ -239,7 +241,7 @@
 
 // commit writes rows on the condition that no newer epoch has begun.
 func (d *Duty) commit(ctx context.Context, id order.ID, conditions []table.Condition, writes ...write) error {
-	t := table.Txn{ID: string(id), Conditions: append(conditions, d.row.Condition())}
+	t := table.Txn{ID: string(id), Conditions: append(conditions, d.newest)}
 	for _, w := range writes {
 		if w.value == nil {
 			t.Writes = append(t.Writes, table.Write{Key: w.key, Delete: true})
