--- /dev/null
+++ b/internal/control/window/matrix_test.go
@@ -0,0 +1,287 @@
+package window_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/control/lease"
+	"github.com/lacewingtally/lacewingtally/internal/control/window"
+	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+	"github.com/lacewingtally/lacewingtally/internal/platform/usage"
+	"github.com/lacewingtally/lacewingtally/internal/standin/matrix"
+)
+
+// Steps of a window's life.
+const (
+	stepBegin   matrix.Step = "Begin"
+	stepPart    matrix.Step = "Part"
+	stepLook    matrix.Step = "Look"
+	stepCursor  matrix.Step = "Cursor"
+	stepClose   matrix.Step = "Close"
+	stepParts   matrix.Step = "Parts"
+	stepSeal    matrix.Step = "Seal"
+	stepReport  matrix.Step = "Report"
+	stepChecked matrix.Step = "Checked"
+	stepAdvance matrix.Step = "Advance"
+)
+
+const (
+	// interval is that of the duty's steps and of the traffic.
+	interval = 5 * time.Second
+	// shards is how many cells run at once.
+	shards = 4
+)
+
+var steps = []matrix.Step{
+	stepBegin, stepPart, stepLook, stepCursor, stepClose, stepParts, stepSeal, stepReport, stepChecked, stepAdvance,
+}
+
+// arbiter gives the duty to one daemon at a time.
+type arbiter struct {
+	mutex   sync.Mutex
+	epoch   fleet.Epoch
+	holder  int
+	expires time.Time
+}
+
+// held is the charge of one holder between two renewals.
+type held struct {
+	epoch fleet.Epoch
+	until time.Time
+}
+
+func (h held) Check(now time.Time) (fleet.Epoch, time.Time, error) {
+	if !now.Before(h.until) {
+		return 0, time.Time{}, lease.ErrNotHeld
+	}
+	return h.epoch, h.until, nil
+}
+
+// renew returns the charge of daemon n, which is void for all but the holder.
+func (a *arbiter) renew(n int) held {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	now := time.Now()
+	if a.holder != n {
+		if now.Before(a.expires) {
+			return held{}
+		}
+		a.holder = n
+		a.epoch++
+	}
+	a.expires = now.Add(3 * interval)
+	return held{epoch: a.epoch, until: now.Add(2 * interval)}
+}
+
+// reporter is the reporting interface as one process sees it.
+type reporter struct {
+	process *matrix.Process
+	usage   *usage.Memory
+}
+
+func (r reporter) Report(ctx context.Context, p usage.Report) error {
+	if strings.HasPrefix(p.Window, "1999") {
+		return r.usage.Report(ctx, p)
+	}
+	e := matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
+	check := func() error { return rest.CheckGuard(ctx) }
+	if err := r.process.Do(stepReport, e, check); err != nil {
+		return err
+	}
+	return r.process.Do(stepChecked, e, func() error { return r.usage.Report(context.Background(), p) })
+}
+
+// step names the step of a call. The windows before the first use are empty
+// and not hit, for a fault there could do no harm.
+func step(commit bool, keys []table.Key) matrix.Step {
+	first, last := string(keys[0]), string(keys[len(keys)-1])
+	switch {
+	case strings.Contains(last, "/1999"):
+		return ""
+	case strings.HasPrefix(first, "Usage/r/Part/") && commit:
+		return stepPart
+	case strings.HasPrefix(first, "Usage/r/Part/") && len(keys) == 3:
+		return stepLook
+	case first == "Usage/r/Part/":
+		return stepBegin
+	case strings.HasPrefix(first, "Usage/r/Part/"):
+		return stepParts
+	case strings.HasPrefix(first, "Usage/r/Closed/") && commit:
+		return stepClose
+	case strings.HasPrefix(last, "Usage/r/Sealed/") && commit:
+		return stepSeal
+	case first == "Usage/r/Cursor" && commit && len(keys) > 1:
+		return stepAdvance
+	case first == "Usage/r/Cursor" && !commit:
+		return stepCursor
+	}
+	return ""
+}
+
+// daemon is one process with a writer and the duty.
+type daemon struct {
+	process *matrix.Process
+	writer  *window.Writer
+	wait    sync.WaitGroup
+	// counted is what the writer was given while the process lived.
+	counted uint64
+}
+
+func start(ctx context.Context, t *table.Memory, u *usage.Memory, i *matrix.Injector, a *arbiter, n int) *daemon {
+	ctx, kill := context.WithCancel(ctx)
+	d := &daemon{process: matrix.NewProcess(i, kill)}
+	d.process.Freeze = window.Length + window.Grace + interval
+	d.process.Lateness = window.Length
+	seen := &matrix.Table{Inner: t, Process: d.process, Step: step}
+	run := fleet.Incarnation(fmt.Sprint(n))
+	d.writer = window.NewWriter(seen, "r", run)
+	duty := window.NewDuty(seen, reporter{process: d.process, usage: u}, "r", run, events{})
+	d.wait.Go(func() { _ = d.writer.Serve(ctx) })
+	d.wait.Go(func() {
+		for ctx.Err() == nil {
+			d.process.Pause()
+			_ = duty.Step(ctx, a.renew(n))
+			time.Sleep(interval)
+		}
+	})
+	d.wait.Go(func() { d.traffic(ctx) })
+	return d
+}
+
+// traffic counts tokens for a window and a half.
+func (d *daemon) traffic(ctx context.Context) {
+	for range 18 {
+		d.process.Pause()
+		if d.process.Dead() || ctx.Err() != nil {
+			return
+		}
+		d.writer.Add(use(5))
+		d.counted += 5
+		time.Sleep(interval)
+	}
+}
+
+// run lives through one cell and returns what went wrong.
+func run(t *testing.T, c matrix.Cell) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		m, u := &table.Memory{}, &usage.Memory{}
+		ctx, stop := context.WithCancel(t.Context())
+		i := matrix.NewInjector(c)
+		l := &arbiter{}
+		a := start(ctx, m, u, i, l, 1)
+		time.Sleep(700 * time.Millisecond)
+		b := start(ctx, m, u, i, l, 2)
+		time.Sleep(9 * window.Length)
+		stop()
+		for _, d := range []*daemon{a, b} {
+			d.wait.Wait()
+			d.process.Wait()
+		}
+		if err = check(t, c, u.Arrived(), a, b); err == nil {
+			err = sealedAsReported(t, m, c, u.Arrived())
+		}
+	})
+	return err
+}
+
+// check returns what went wrong in a run. A dead process may lose what it had
+// counted since its last flush, and what a flush under way had in it.
+func check(t *testing.T, c matrix.Cell, reports []usage.Report, daemons ...*daemon) error {
+	// The window that remains: a holder frozen between its last check and the
+	// write, and a report held up on the way for longer than a lease. The
+	// figures are the same even then.
+	open := c.Has(stepChecked, matrix.FreezeBefore) || c.Has(stepReport, matrix.FreezeAfter) ||
+		c.Has(stepChecked, matrix.Late)
+	bodies := make(map[string]string)
+	var newest fleet.Epoch
+	var total uint64
+	for _, r := range reports {
+		if r.Epoch < newest && !open {
+			return errors.Errorf("%s: report of epoch %d after %d", c, r.Epoch, newest)
+		}
+		newest = max(newest, r.Epoch)
+		if known, ok := bodies[r.Window]; ok {
+			if known != string(r.Body) {
+				return errors.Errorf("%s: two figures of %s", c, r.Window)
+			}
+			continue
+		}
+		bodies[r.Window] = string(r.Body)
+		var f window.Figures
+		must.NoError(t, json.Unmarshal(r.Body, &f))
+		for _, l := range f.Lines {
+			total += l.Tokens
+		}
+	}
+	var counted, lost uint64
+	dead := 0
+	for _, d := range daemons {
+		counted += d.counted
+		if d.process.Dead() {
+			dead++
+			lost += mayLose
+		}
+	}
+	if dead == len(daemons) {
+		lost = counted
+	}
+	if total > counted || total+lost < counted {
+		return errors.Errorf("%s: reported %d of %d, %d may be lost", c, total, counted, lost)
+	}
+	return nil
+}
+
+// sealedAsReported returns an error when a row holds other figures than were
+// reported for its window.
+func sealedAsReported(t *testing.T, m *table.Memory, c matrix.Cell, reports []usage.Report) error {
+	for _, r := range reports {
+		rows, err := m.Read(t.Context(), table.Key("Usage/r/Sealed/"+r.Window))
+		must.NoError(t, err)
+		var s struct{ Body []byte }
+		must.NoError(t, json.Unmarshal(rows[0].Value, &s))
+		if string(s.Body) != string(r.Body) {
+			return errors.Errorf("%s: sealed row of %s changed after the report", c, r.Window)
+		}
+	}
+	return nil
+}
+
+// mayLose is what a dead process may lose: two additions of five tokens in a
+// flush under way, or held back by the cell's other fault, and one since.
+const mayLose = 15
+
+func TestMatrixWindowsReportedOnce(t *testing.T) {
+	cells := matrix.Cells(steps, matrix.All())
+	var ran atomic.Int64
+	t.Run("Cells", func(t *testing.T) {
+		for shard := range shards {
+			t.Run(fmt.Sprint(shard), func(t *testing.T) {
+				t.Parallel()
+				for n := shard; n < len(cells); n += shards {
+					ran.Add(1)
+					if err := run(t, cells[n]); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+	})
+	must.Eq(t, matrix.Count(len(steps), len(matrix.All())), int(ran.Load()))
+	t.Logf("cells: %d (%d steps, %d faults, singly, twice, in pairs)", ran.Load(), len(steps), len(matrix.All()))
+}
+
+func TestNoFaults(t *testing.T) {
+	must.NoError(t, run(t, nil))
+}
--- a/internal/standin/matrix/matrix.go
+++ b/internal/standin/matrix/matrix.go
@@ -13,17 +13,17 @@
 const (
 	// AnswerLost carries the call out; the caller learns no outcome.
 	AnswerLost Fault = "AnswerLost"
-	// FreezeAfter carries the call out and stops the whole process for Freeze
+	// FreezeAfter carries the call out and stops the whole process
 	// before it sees the answer.
 	FreezeAfter Fault = "FreezeAfter"
-	// FreezeBefore stops the whole process for Freeze and then carries the
+	// FreezeBefore stops the whole process and then carries the
 	// call out.
 	FreezeBefore Fault = "FreezeBefore"
 	// KillAfter carries the call out and ends the process.
 	KillAfter Fault = "KillAfter"
 	// KillBefore ends the process.
 	KillBefore Fault = "KillBefore"
-	// Late carries the call out after lateBy; the caller learns no outcome.
+	// Late carries the call out some time later; the caller learns no outcome.
 	Late Fault = "Late"
 	// RequestLost carries nothing out; the caller learns no outcome.
 	RequestLost Fault = "RequestLost"
--- a/internal/standin/matrix/process.go
+++ b/internal/standin/matrix/process.go
@@ -1,6 +1,7 @@
 package matrix
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -9,9 +10,12 @@
 )
 
 const (
-	// Freeze is how long a frozen process stands still, more than any lease.
+	// Freeze is how long a frozen process stands still, unless it says
+	// otherwise; it is more than any lease.
 	Freeze = 20 * time.Second
-	lateBy = 2 * time.Second
+	// Lateness is by how much a late call comes late, unless the process says
+	// otherwise.
+	Lateness = 2 * time.Second
 )
 
 // Errors are what a service answers to a call that failed.
@@ -23,6 +27,10 @@
 // Process carries the calls of one process out under the faults of an
 // Injector. Its methods may be called from any goroutine.
 type Process struct {
+	// Freeze and Lateness replace the constants when they are set.
+	Freeze   time.Duration
+	Lateness time.Duration
+
 	injector *Injector
 	// kill ends the goroutines of the process.
 	kill context.CancelFunc
@@ -84,7 +92,7 @@
 		return e.Unavailable
 	case Late:
 		p.late.Go(func() {
-			time.Sleep(lateBy)
+			time.Sleep(cmp.Or(p.Lateness, Lateness))
 			_ = call()
 		})
 		return e.Unknown
@@ -118,7 +126,7 @@
 
 func (p *Process) freeze() {
 	p.mutex.Lock()
-	p.thaw = time.Now().Add(Freeze)
+	p.thaw = time.Now().Add(cmp.Or(p.Freeze, Freeze))
 	p.mutex.Unlock()
 	p.Pause()
 }
