--- a/internal/caller/proxy/generation.go
+++ b/internal/caller/proxy/generation.go
@@ -18,6 +18,13 @@
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 )
 
+// compressMinimum is the size from which a message is compressed, in bytes: the
+// chunks of a stream are far smaller and would only cost time.
+const compressMinimum = 4 << 10
+
+// spotTokens is the longest answer that spot servers may run for a live request.
+const spotTokens = 512
+
 // errArgument is the cause of a refusal of a malformed request.
 var errArgument = errors.New("proxy: malformed request")
 
@@ -37,7 +44,8 @@
 
 // NewHTTPHandler returns the path and the handler to mount h at.
 func NewHTTPHandler(h *GenerationHandler) (string, http.Handler) {
-	return callerv1.NewGenerationServiceHandler(h, connect.WithReadMaxBytes(bodyLimit))
+	return callerv1.NewGenerationServiceHandler(h,
+		connect.WithCompressMinBytes(compressMinimum), connect.WithReadMaxBytes(bodyLimit))
 }
 
 // Generate implements callerv1.GenerationServiceHandler.
@@ -94,6 +102,8 @@
 		Offset:    int(m.Offset),
 		MaxTokens: int(m.MaxTokens),
 		Seed:      m.Seed,
+		// A reclaimed server costs a resume, which is short for a short answer.
+		SpotAllowed: m.MaxTokens-m.Offset <= spotTokens,
 	}
 	if q.ID == "" {
 		q.ID = fleet.RequestID(uuid.NewString())
--- a/internal/control/cell/queue.go
+++ b/internal/control/cell/queue.go
@@ -75,14 +75,15 @@
 type tenant struct {
 	workspace fleet.Workspace
 	weight    float64
-	running   int
-	rate      rate
+	// running counts its grants, a class.
+	running [classes]int
 	// queues are by class, and by whether a spot server may run the request.
 	queues [classes][2]queue
 	// index is the place in the cell's list of a class, -1 when not in it.
 	index [classes]int
-	// spotAllowed is whether the newest request may run on spot servers.
-	spotAllowed bool
+	// spotAllowed is whether the newest request may run on spot servers, a
+	// class.
+	spotAllowed [classes]bool
 }
 
 func (t *tenant) oldest(class fleet.Class) time.Time {
@@ -123,7 +124,7 @@
 }
 
 func (c *Cell) dropTenant(t *tenant) {
-	if t.running == 0 && t.waiting() == 0 && len(c.tenants) > maxIdleTenants {
+	if t.running == [classes]int{} && t.waiting() == 0 && len(c.tenants) > maxIdleTenants {
 		delete(c.tenants, t.workspace)
 	}
 }
--- a/internal/control/claim/store.go
+++ b/internal/control/claim/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,7 +38,7 @@
 
 // NewStore returns a Store over t, which works while Serve runs.
 func NewStore(t table.Table) *Store {
-	return &Store{group: group{table: t, queue: make(chan *op, groupLimit)}}
+	return &Store{group: group{table: t, queue: make(chan *op, groupLimit), stopped: make(chan struct{})}}
 }
 
 // Begin claims a request. It returns a Held when the request may be sent, the
@@ -74,8 +75,12 @@
 	}
 }
 
-// Serve commits claims until the context ends.
+// Serve commits claims, and deletes old ones, until the context ends. It is
+// called once.
 func (s *Store) Serve(ctx context.Context) error {
+	var w sync.WaitGroup
+	defer w.Wait()
+	w.Go(func() { (&sweeper{table: s.group.table}).serve(ctx) })
 	return s.group.serve(ctx)
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -142,6 +142,20 @@
 	return string(b)
 }
 
+// AddFault adds a fault to come after the others.
+func (e *Engine) AddFault(f Fault) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.faults = append(e.faults, f)
+}
+
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.boot - 1
+}
+
 // Crash ends the run: every stream is cut, and nothing is answered for d.
 func (e *Engine) Crash(d time.Duration) {
 	e.mutex.Lock()
