--- /dev/null
+++ b/internal/control/batch/dispatch_test.go
@@ -0,0 +1,194 @@
+package batch_test
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.yaml.in/yaml/v3"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/set"
+	"github.com/lacewingtally/lacewingtally/internal/control/batch"
+)
+
+// trace is a recorded run of a dispatcher and what must come of it.
+type trace struct {
+	InFlight int          `yaml:"InFlight"`
+	Groups   []traceGroup `yaml:"Groups"`
+	Events   []event      `yaml:"Events"`
+	// Outcome lists the actions, each with its instant.
+	Outcome []string `yaml:"Outcome"`
+}
+
+type traceGroup struct {
+	ID        batch.GroupID `yaml:"ID"`
+	Samples   int           `yaml:"Samples"`
+	MaxTokens int           `yaml:"MaxTokens"`
+}
+
+// event is one input; absent fields do nothing.
+type event struct {
+	At time.Duration `yaml:"At"`
+	// Trainer and Newest are the versions of the trainer and of the store.
+	Trainer fleet.WeightVersion `yaml:"Trainer"`
+	Newest  fleet.WeightVersion `yaml:"Newest"`
+	// Revoked withdraws the key.
+	Revoked bool   `yaml:"Revoked"`
+	Chunk   *chunk `yaml:"Chunk"`
+	End     *end   `yaml:"End"`
+}
+
+type chunk struct {
+	Sample  batch.SampleID      `yaml:"Sample"`
+	Try     int                 `yaml:"Try"`
+	Offset  int                 `yaml:"Offset"`
+	Tokens  int                 `yaml:"Tokens"`
+	Version fleet.WeightVersion `yaml:"Version"`
+}
+
+type end struct {
+	Sample batch.SampleID `yaml:"Sample"`
+	Try    int            `yaml:"Try"`
+	Whole  bool           `yaml:"Whole"`
+}
+
+func (e event) apply(now time.Time, d *batch.Dispatcher) {
+	if e.Trainer > 0 || e.Newest > 0 {
+		d.Set(batch.Bound{Version: e.Trainer, Lag: lag}, e.Newest)
+	}
+	if e.Revoked {
+		d.Grant(set.New[string]())
+	}
+	if c := e.Chunk; c != nil {
+		d.Chunk(c.Sample, c.Try, engine.Chunk{Offset: c.Offset, Tokens: c.Tokens, Version: c.Version, Text: "x"})
+	}
+	if n := e.End; n != nil {
+		d.End(now, n.Sample, n.Try, n.Whole, now)
+	}
+}
+
+func lines(at time.Duration, a batch.Actions) []string {
+	var all []string
+	for _, s := range a.Stops {
+		all = append(all, fmt.Sprintf("%s Stop %s try %d", at, s.Sample, s.Try))
+	}
+	for _, s := range a.Starts {
+		all = append(all, fmt.Sprintf("%s Start %s try %d from %d", at, s.Sample, s.Try, s.Offset))
+	}
+	for _, f := range a.Finishes {
+		for _, s := range f.Samples {
+			all = append(all, fmt.Sprintf("%s Finish %s %v", at, s.ID, s.Segments))
+		}
+	}
+	for _, s := range a.Discards {
+		all = append(all, fmt.Sprintf("%s Discard %s %s", at, s.Sample, s.Reason))
+	}
+	return all
+}
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, files)
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			b, err := os.ReadFile(f)
+			must.NoError(t, err)
+			var r trace
+			must.NoError(t, yaml.Unmarshal(b, &r))
+			d := &batch.Dispatcher{Policy: batch.Policy{InFlight: r.InFlight}}
+			d.Grant(set.New("k"))
+			for _, g := range r.Groups {
+				d.Add(batch.Pending{Group: g.ID, Key: "k"}, batch.Group{ID: g.ID, Pool: "p", Samples: g.Samples, MaxTokens: g.MaxTokens})
+			}
+			began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			var got []string
+			for _, e := range r.Events {
+				now := began.Add(e.At)
+				e.apply(now, d)
+				got = append(got, lines(e.At, d.Decide(now))...)
+			}
+			must.Eq(t, r.Outcome, got)
+		})
+	}
+}
+
+// TestDispatcherKeepsItsRules drives a dispatcher with random chunks, ends,
+// versions and late messages of stopped tries.
+func TestDispatcherKeepsItsRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		inFlight := rapid.IntRange(1, 4).Draw(t, "inFlight")
+		d := &batch.Dispatcher{Policy: batch.Policy{InFlight: inFlight}}
+		d.Grant(set.New("k"))
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		version := fleet.WeightVersion(1)
+		for _, g := range groups(3) {
+			d.Add(batch.Pending{Group: g.ID, Key: "k"}, g)
+		}
+		running := make(map[batch.SampleID]batch.Start)
+		made := make(map[batch.SampleID]int)
+		var old []batch.Start
+		finished := set.New[batch.GroupID]()
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "advance") == 0 {
+				version++
+			}
+			d.Set(batch.Bound{Version: version, Lag: lag}, version)
+			a := d.Decide(now)
+			for _, s := range a.Stops {
+				old = append(old, running[s.Sample])
+				delete(running, s.Sample)
+			}
+			for _, s := range a.Starts {
+				must.MapNotContainsKey(t, running, s.Sample)
+				must.Eq(t, made[s.Sample], s.Offset)
+				running[s.Sample] = s
+			}
+			must.LessEq(t, inFlight, len(running))
+			for _, f := range a.Finishes {
+				must.True(t, finished.Add(f.Pending.Group))
+				for _, s := range f.Samples {
+					must.Eq(t, made[s.ID], s.Tokens())
+					must.Eq(t, 8, s.Tokens())
+					must.True(t, batch.Bound{Version: version, Lag: lag}.Fresh(s.Oldest()))
+				}
+			}
+			for _, s := range old {
+				must.False(t, d.Chunk(s.Sample, s.Try, engine.Chunk{Offset: made[s.Sample], Tokens: 1, Text: "x", Version: version}))
+			}
+			for _, id := range slices.Sorted(maps.Keys(running)) {
+				drive(t, d, now, running[id], version, made, running)
+			}
+		}
+	})
+}
+
+// drive lets a running try make a token, fail or name no version.
+func drive(t *rapid.T, d *batch.Dispatcher, now time.Time, s batch.Start, v fleet.WeightVersion,
+	made map[batch.SampleID]int, running map[batch.SampleID]batch.Start,
+) {
+	switch rapid.IntRange(0, 9).Draw(t, "what") {
+	case 0:
+		d.End(now, s.Sample, s.Try, false, now)
+		delete(running, s.Sample)
+	case 1:
+		must.False(t, d.Chunk(s.Sample, s.Try, engine.Chunk{Offset: made[s.Sample], Tokens: 1, Text: "x"}))
+		delete(running, s.Sample)
+	default:
+		must.True(t, d.Chunk(s.Sample, s.Try, engine.Chunk{Offset: made[s.Sample], Tokens: 1, Text: "x", Version: v}))
+		made[s.Sample]++
+		if made[s.Sample] == 8 {
+			d.End(now, s.Sample, s.Try, true, now)
+			delete(running, s.Sample)
+		}
+	}
+}
