Prove which versions are named, and roll weights out in waves that fit ten seconds

Rollout over a fake generator: a swap in mid-generation with a resume, chunks without a version, a version that the store never had, a store outage, a key withdrawn while samples run.

A trace showed a fault: a server that had finished the swap it was ordered counted as swapping until its deadline when newer weights had come meanwhile. The swap now ends with the version that was ordered.

The rollout service now says not run when a fetch meets a store that is down, for a fetch runs nothing; a submission stays may have run.

--- a/internal/caller/rollout/failure.go
+++ b/internal/caller/rollout/failure.go
@@ -11,16 +11,26 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
 )
 
-// failure turns an error of the ledger into what a trainer is told. Every call
-// is idempotent, so that one whose outcome is not known may just be repeated.
+// failure turns an error of a call that runs nothing on backend servers into
+// what a trainer is told.
 func failure(err error) error {
+	return failureOf(err, refusal.NotRun)
+}
+
+// submitFailure does so for a submission, of which a part may be in the table.
+// It is idempotent and may just be repeated.
+func submitFailure(err error) error {
+	return failureOf(err, refusal.MayHaveRun)
+}
+
+func failureOf(err error, kind func(refusal.Reason, time.Time, error) *refusal.Error) error {
 	switch {
 	case errors.Is(err, batch.ErrInvalid):
 		return connect.NewError(connect.CodeInvalidArgument, errors.New(err.Error()))
 	case errors.Is(err, batch.ErrCursor), errors.Is(err, batch.ErrAcknowledged):
 		return connect.NewError(connect.CodeOutOfRange, errors.New(err.Error()))
 	}
-	return refuse(refusal.MayHaveRun(refusal.ReasonStore, time.Now().Add(storeRest), err))
+	return refuse(kind(refusal.ReasonStore, time.Now().Add(storeRest), err))
 }
 
 // refuse turns a refusal into a connect error with its detail.
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/caller/rollout"
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
@@ -34,8 +36,15 @@
 type generator struct {
 	mutex   sync.Mutex
 	version fleet.WeightVersion
-	// started counts the generations.
+	// started counts the generations and tokens their tokens.
 	started int
+	tokens  int
+	// swapAt is the token of a sample at which the engines swap to version 2.
+	swapAt int
+	// nameless is how many chunks still come without a version.
+	nameless int
+	// cutAt is the token at which the first try of each sample breaks off.
+	cutAt int
 }
 
 func (g *generator) Generate(ctx context.Context, r gate.Generation, emit func(engine.Chunk) error) error {
@@ -50,7 +59,18 @@
 		}
 		g.mutex.Lock()
 		v := g.version
+		g.tokens++
+		if g.swapAt > 0 && i >= g.swapAt {
+			v = 2
+		}
+		if g.nameless > 0 {
+			g.nameless--
+			v = 0
+		}
 		g.mutex.Unlock()
+		if g.cutAt > 0 && r.Offset == 0 && i == g.cutAt {
+			return refusal.MayHaveRun(refusal.ReasonServer, time.Now().Add(time.Second), nil)
+		}
 		if err := emit(engine.Chunk{Offset: i, Text: "x", Tokens: 1, Version: v, End: i+1 == r.MaxTokens}); err != nil {
 			return err
 		}
@@ -95,10 +115,17 @@
 	view      source
 	generator generator
 	members   []fleet.Member
+	fault     atomic.Pointer[func(bool, []table.Key) table.Fault]
 }
 
 func newWorld(t *testing.T) *world {
 	w := &world{}
+	w.table.Fault = func(commit bool, keys []table.Key) table.Fault {
+		if f := w.fault.Load(); f != nil {
+			return (*f)(commit, keys)
+		}
+		return 0
+	}
 	must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 1}))
 	w.generator.version = 1
 	return w
@@ -197,15 +224,81 @@
 		must.NoError(t, submit(t, a, "k", 4))
 		time.Sleep(2 * time.Second)
 		w.view.set(w.members)
-		time.Sleep(time.Second)
-		started := w.generator.started
+		time.Sleep(300 * time.Millisecond)
+		started, tokens := w.generator.started, w.generator.tokens
+		must.Less(t, 12*20, tokens)
 		_, err := fetch(t, a, 1)
 		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(err))
 		time.Sleep(time.Minute)
 		must.Eq(t, started, w.generator.started)
+		must.Eq(t, tokens, w.generator.tokens)
 		w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
 		got, err := fetch(t, a, 1)
 		must.NoError(t, err)
 		must.Len(t, 6, got.GetSamples())
 	})
 }
+
+func TestSwapInMidGenerationIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.generator.swapAt, w.generator.cutAt = 12, 5
+		must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 2}))
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		for _, s := range got.GetSamples() {
+			must.Len(t, 2, s.GetSegments())
+			must.Eq(t, uint64(1), s.GetSegments()[0].GetWeightVersion())
+			must.Eq(t, uint32(12), s.GetSegments()[0].GetTokens())
+			must.Eq(t, uint64(2), s.GetSegments()[1].GetWeightVersion())
+			must.Eq(t, uint32(8), s.GetSegments()[1].GetTokens())
+		}
+	})
+}
+
+func TestNamelessAndUnpublishedVersionsAreNotDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.generator.nameless = 4
+		// The engines serve a version that the store does not have.
+		w.generator.version = 2
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		_, err := fetch(t, a, 1)
+		must.Eq(t, connect.CodeDeadlineExceeded, connect.CodeOf(err))
+		must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 2}))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+		for _, s := range got.GetSamples() {
+			must.Eq(t, 20, len(s.GetText()))
+		}
+	})
+}
+
+func TestStoreOutageIsToldAtOnceAndLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		time.Sleep(1500 * time.Millisecond)
+		down := func(bool, []table.Key) table.Fault { return table.FaultUnavailable }
+		w.fault.Store(&down)
+		began := time.Now()
+		_, err := fetch(t, a, 1)
+		must.Eq(t, connect.CodeUnavailable, connect.CodeOf(err))
+		must.Eq(t, 0, time.Since(began))
+		time.Sleep(time.Minute)
+		w.fault.Store(nil)
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+		// What was generated before and during the outage is not made again.
+		must.Eq(t, 6, w.generator.started)
+	})
+}
--- a/internal/caller/rollout/service.go
+++ b/internal/caller/rollout/service.go
@@ -106,7 +106,7 @@
 		return nil, failure(err)
 	}
 	if err := s.parts.Ledger.Submit(ctx, t, keyHash(r.Header().Get("Authorization")), groups); err != nil {
-		return nil, failure(err)
+		return nil, submitFailure(err)
 	}
 	return connect.NewResponse(&callerv1.SubmitGroupsResponse{Accepted: uint32(len(groups))}), nil
 }
--- a/internal/control/weight/rollout.go
+++ b/internal/control/weight/rollout.go
@@ -16,7 +16,7 @@
 const (
 	defaultQuarantine = time.Minute
 	defaultRetry      = 500 * time.Millisecond
-	defaultShare      = 0.25
+	defaultShare      = 0.34
 	defaultSwap       = 5 * time.Second
 	defaultTries      = 3
 )
@@ -71,6 +71,8 @@
 	reported time.Time
 	// swapBy is when the running swap counts as failed; zero is no swap.
 	swapBy time.Time
+	// ordered is the version of the running swap.
+	ordered fleet.WeightVersion
 	// restUntil is when the next swap may begin, after a failed one.
 	restUntil time.Time
 	// quarantined is whether restUntil ends a quarantine.
@@ -146,7 +148,9 @@
 		return
 	}
 	s.version, s.reported = v, now
-	if v >= r.targets[s.Pool].Version && v > 0 {
+	// The swap that was ordered is over even when newer weights were published
+	// meanwhile.
+	if v > 0 && (v >= r.targets[s.Pool].Version || (!s.swapBy.IsZero() && v >= s.ordered)) {
 		s.swapBy, s.restUntil = time.Time{}, time.Time{}
 		s.failures, s.quarantined = 0, false
 	}
@@ -213,6 +217,7 @@
 func (r *Rollout) begin(now time.Time, s *server) Load {
 	w := r.targets[s.Pool]
 	s.tries++
+	s.ordered = w.Version
 	s.swapBy = now.Add(cmp.Or(r.Policy.Swap, defaultSwap))
 	return Load{Server: s.Server, Weights: w, OrderID: fmt.Sprintf("%s/%d/%d", s.ID, w.Version, s.tries)}
 }
