--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -78,6 +78,13 @@
 	return nil
 }
 
+// counts returns how many generations started and the tokens they made.
+func (g *generator) counts() (started, tokens int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.started, g.tokens
+}
+
 // source is a view that is always confirmed, with one key for each workspace.
 type source struct {
 	mutex sync.Mutex
@@ -197,7 +204,8 @@
 		second, err := fetch(t, a, 2)
 		must.NoError(t, err)
 		must.Len(t, 6, second.GetSamples())
-		must.Eq(t, 12, w.generator.started)
+		started, _ := w.generator.counts()
+		must.Eq(t, 12, started)
 	})
 }
 
@@ -225,13 +233,14 @@
 		time.Sleep(2 * time.Second)
 		w.view.set(w.members)
 		time.Sleep(300 * time.Millisecond)
-		started, tokens := w.generator.started, w.generator.tokens
+		started, tokens := w.generator.counts()
 		must.Less(t, 12*20, tokens)
 		_, err := fetch(t, a, 1)
 		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(err))
 		time.Sleep(time.Minute)
-		must.Eq(t, started, w.generator.started)
-		must.Eq(t, tokens, w.generator.tokens)
+		startedLater, tokensLater := w.generator.counts()
+		must.Eq(t, started, startedLater)
+		must.Eq(t, tokens, tokensLater)
 		w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
 		got, err := fetch(t, a, 1)
 		must.NoError(t, err)
@@ -299,6 +308,7 @@
 		must.NoError(t, err)
 		must.Len(t, 6, got.GetSamples())
 		// What was generated before and during the outage is not made again.
-		must.Eq(t, 6, w.generator.started)
+		started, _ := w.generator.counts()
+		must.Eq(t, 6, started)
 	})
 }
