--- a/internal/platform/table/memory.go
+++ b/internal/platform/table/memory.go
@@ -26,7 +26,8 @@
 // methods may be called from any goroutine.
 type Memory struct {
 	// Fault, if set, is asked before each call; commit tells writes from
-	// reads. It must not call the table.
+	// reads. It must not call the table. It is set before the table is used;
+	// SetFault changes it later.
 	Fault func(commit bool, keys []Key) Fault
 
 	mutex sync.Mutex
@@ -92,6 +93,13 @@
 	return rows[:min(limit, len(rows))], nil
 }
 
+// SetFault sets Fault while the table is in use; nil is no fault.
+func (m *Memory) SetFault(f func(commit bool, keys []Key) Fault) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.Fault = f
+}
+
 func (m *Memory) commit(t Txn) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -115,10 +123,13 @@
 }
 
 func (m *Memory) fault(commit bool, keys []Key) Fault {
-	if m.Fault == nil {
+	m.mutex.Lock()
+	f := m.Fault
+	m.mutex.Unlock()
+	if f == nil {
 		return 0
 	}
-	return m.Fault(commit, keys)
+	return f(commit, keys)
 }
 
 func (m *Memory) readFault(ctx context.Context, keys []Key) error {
