--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
-	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
 	"github.com/lacewingtally/lacewingtally/internal/backend/service"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
@@ -22,6 +21,14 @@
 	bodyLimit = 8 << 20
 	// defaultPatience is how long a request without a deadline may take.
 	defaultPatience = 10 * time.Minute
+	// firstPatience bounds the silence of a server in the first attempt of a
+	// repeatable request. Each later attempt bears twice as much, up to
+	// lastPatience: the first one leaves a connection that went silent soon,
+	// the later ones leave a slow server its time.
+	firstPatience = 3 * time.Second
+	lastPatience  = 24 * time.Second
+	// oncePatience is that for a request that may not be repeated.
+	oncePatience = 10 * time.Second
 	// idLimit bounds a request ID, in bytes.
 	idLimit = 256
 	// reserveWait is the wait for the reservation of a server.
@@ -54,7 +61,8 @@
 	Budget Budget
 	// Claims nil refuses requests that need a claim.
 	Claims Claims
-	// Engines makes the client of a server; nil uses engine.NewHTTP.
+	// Engines makes the client of a server; nil uses engine.NewHTTP at a pace
+	// that follows the number of streams.
 	Engines func(s fleet.Server) engine.Engine
 	Gate    gate.Gate
 	// Meter nil counts nothing.
@@ -81,10 +89,6 @@
 
 // complete fills the fields that may be left out.
 func (o Options) complete() Options {
-	if o.Engines == nil {
-		c := exchange.New()
-		o.Engines = func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, c) }
-	}
 	if o.Services == nil {
 		o.Services = service.NewHTTP(nil)
 	}
--- a/internal/control/cell/schedule.go
+++ b/internal/control/cell/schedule.go
@@ -56,6 +56,10 @@
 func (c *Cell) candidates(now time.Time, class fleet.Class) {
 	c.scratch = c.scratch[:0]
 	standard, spot := c.servers.open(now)
+	standard = standard && c.standardAllowed(now, class)
+	if !standard && !spot {
+		return
+	}
 	for _, t := range c.queued[class] {
 		if !standard && (!spot || t.queues[class][1].waiting == 0) {
 			continue
@@ -63,8 +67,8 @@
 		c.scratch = append(c.scratch, Candidate[fleet.Workspace]{
 			Key:     t.workspace,
 			Since:   t.oldest(class),
-			Running: float64(t.running),
-			Alone:   float64(max(c.servers.alone(t.spotAllowed), 1)),
+			Running: float64(t.running[class]),
+			Alone:   float64(max(c.servers.alone(t.spotAllowed[class]), 1)),
 			Weight:  t.weight,
 		})
 	}
@@ -91,22 +95,23 @@
 		if it == nil || !it.queued {
 			continue
 		}
-		if clock.Passed(now, it.ask.Request.Deadline) {
-			c.refuse(now, it.ask, refusal.ReasonDeadline, now)
-			c.unqueue(it)
+		tried++
+		s := c.choose(now, &it.ask)
+		if s == nil {
 			continue
 		}
-		tried++
-		if s := c.choose(now, &it.ask); s != nil {
+		if !clock.Passed(now, it.ask.Request.Deadline) {
 			return it, s
 		}
+		c.refuse(now, it.ask, refusal.ReasonDeadline, now)
+		c.unqueue(it)
 	}
 	return nil, nil
 }
 
 func (c *Cell) policy() Policy[fleet.Workspace] {
 	if c.Policy == nil {
-		c.Policy = Share[fleet.Workspace]{}
+		c.Policy = MaxMin[fleet.Workspace]{}
 	}
 	return c.Policy
 }
