Prove that an operator is told the truth about a change

TestMatrixLease gains late answers of the table, 390 cells.

Ruled out by mutations that failed: taking a conflict at its word (a resent commit conflicts with itself), not reading the revision's row back, writing the head without a condition, an unknown outcome told as a failure, counting the lease's deadline from the answer's arrival (TestMatrixLease, which missed it before it had late answers).

--- a/internal/control/lease/matrix_test.go
+++ b/internal/control/lease/matrix_test.go
@@ -97,7 +97,9 @@
 	calls  int
 	fault  table.Fault
 	frozen chan struct{}
-	delay  time.Duration
+	// held stops answers only.
+	held  chan struct{}
+	delay time.Duration
 	// strike is called before the call numbered at.
 	at     int
 	strike func()
@@ -112,7 +114,7 @@
 		return table.ErrUnknown
 	}
 	err := p.Table.Commit(ctx, t)
-	p.pass()
+	p.leave()
 	if f == table.FaultAnswerLost {
 		return table.ErrUnknown
 	}
@@ -124,7 +126,7 @@
 		return nil, table.ErrUnavailable
 	}
 	rows, err := p.Table.Read(ctx, keys...)
-	p.pass()
+	p.leave()
 	return rows, err
 }
 
@@ -146,6 +148,17 @@
 	return p.fault
 }
 
+// leave lets an answer through.
+func (p *path) leave() {
+	p.mutex.Lock()
+	held := p.held
+	p.mutex.Unlock()
+	if held != nil {
+		<-held
+	}
+	p.pass()
+}
+
 // pass waits while the path is frozen or delayed.
 func (p *path) pass() {
 	p.mutex.Lock()
@@ -191,6 +204,14 @@
 				}
 			})
 		}},
+		{"AnswersLate", func(c *leaseCell) {
+			p := c.hosts[0].path
+			p.set(func() {
+				if p.held == nil {
+					p.held = make(chan struct{})
+				}
+			})
+		}},
 		{"Slow", func(c *leaseCell) { p := c.hosts[0].path; p.set(func() { p.delay = 1500 * time.Millisecond }) }},
 		{"ViewUnconfirmed", func(c *leaseCell) { c.hosts[0].source.lost.Store(true) }},
 		{"EpochHeard", func(c *leaseCell) { c.hosts[0].epochs.HeardEpoch("", c.hosts[0].epochs.Epoch("")+1) }},
@@ -229,9 +250,11 @@
 		h.source.lost.Store(false)
 		h.path.set(func() {
 			h.path.fault, h.path.delay = 0, 0
-			if h.path.frozen != nil {
-				close(h.path.frozen)
-				h.path.frozen = nil
+			for _, c := range []*chan struct{}{&h.path.frozen, &h.path.held} {
+				if *c != nil {
+					close(*c)
+					*c = nil
+				}
 			}
 		})
 	}
