--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -259,6 +259,12 @@
 	v.confirm(now)
 }
 
+// Tick lets the view be confirmed by the daemon itself, when it is the majority
+// of its region.
+func (v *View) Tick(now time.Time) {
+	v.confirm(now)
+}
+
 // Told takes revisions that someone has named without proving a contact, for
 // example the asker of a ping.
 func (v *View) Told(h member.Held) {
--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -173,3 +173,43 @@
 		c.cutPeers(cut, 0)
 	})
 }
+
+func TestAllKilledAndRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		doc := c.apply(0, keyed("k"))
+		for n := range 3 {
+			c.start(n+1, "r")
+		}
+		time.Sleep(5 * time.Second)
+		for _, d := range c.all() {
+			c.kill(d)
+		}
+		c.daemons = nil
+		for n := range 3 {
+			c.start(n+1, "r")
+		}
+		time.Sleep(10 * time.Second)
+		for _, d := range c.all() {
+			must.True(t, registered(t, d))
+		}
+		doc = c.apply(1, withdrawn(doc, time.Now()))
+		a, err := c.at(0).Confirm(context.Background(), doc.Revision)
+		must.NoError(t, err)
+		must.True(t, a.Accepted())
+	})
+}
+
+func TestLoneDaemonServesThroughOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t)
+		defer c.close()
+		c.apply(0, keyed("k"))
+		d := c.start(1, "r")
+		time.Sleep(5 * time.Second)
+		d.path.Set(true)
+		time.Sleep(time.Minute)
+		must.True(t, serves(d, "k"))
+	})
+}
--- a/internal/peer/member/ping.go
+++ b/internal/peer/member/ping.go
@@ -186,6 +186,7 @@
 // tend drops what has aged and publishes the live members when they changed.
 func (r *Runtime) tend(now time.Time) {
 	c := &r.control
+	c.view.Tick(now)
 	for id, x := range c.candidates {
 		if now.Sub(x.at) > liveWindow || c.view.Set().Contains(id) {
 			delete(c.candidates, id)
