--- a/internal/control/lease/model_test.go
+++ b/internal/control/lease/model_test.go
@@ -162,7 +162,7 @@
 }
 
 // check looks at the frozen daemons too: one may thaw at any instant.
-func (m *leaseModel) check(t *rapid.T) {
+func (m *leaseModel) check(t rapid.TB) {
 	holders := 0
 	for _, d := range m.daemons {
 		if _, _, err := d.lease.Check(m.local(d)); err == nil {
--- a/internal/platform/table/bench_test.go
+++ b/internal/platform/table/bench_test.go
@@ -51,7 +51,7 @@
 	m := &table.Memory{}
 	s := &http.Server{Handler: standin.NewHandler(m)}
 	go func() { _ = s.Serve(l) }()
-	defer s.Close()
+	defer func() { _ = s.Close() }()
 	value := make([]byte, 60)
 	must.NoError(b, m.Commit(context.Background(), table.Txn{ID: "00000000-0000-0000-0000-000000000000", Writes: []table.Write{
 		{Key: "Config/Head", Value: value[:20]}, {Key: "Members/Fleet", Value: value},
--- /dev/null
+++ b/internal/platform/table/budget_test.go
@@ -0,0 +1,28 @@
+package table_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+)
+
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := table.NewBudget(&table.Memory{}, 10)
+		start := time.Now()
+		for range 30 {
+			_, err := b.Read(context.Background(), "A/1")
+			must.NoError(t, err)
+		}
+		must.Eq(t, 2*time.Second, time.Since(start))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		must.ErrorIs(t, b.Commit(ctx, txn("a", 0)), table.ErrUnavailable)
+		must.NoError(t, table.Budget{Table: &table.Memory{}}.Commit(ctx, txn("a", 0)))
+	})
+}
