--- a/internal/control/config/config_test.go
+++ b/internal/control/config/config_test.go
@@ -138,3 +138,12 @@
 	_, err = s.Apply(ctx, 2, valid(), "op", "grant again")
 	must.ErrorIs(t, err, config.ErrInvalid)
 }
+
+func TestKeyLookUpDoesNotAllocate(t *testing.T) {
+	s := config.NewSnapshot(valid())
+	must.Zero(t, testing.AllocsPerRun(100, func() {
+		if _, ok := s.Workspace("k"); !ok {
+			t.Error("key not found")
+		}
+	}))
+}
