--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -90,6 +90,39 @@
 	})
 }
 
+// TestWithdrawalAtTodaysSizes requires that a withdrawal is in force everywhere
+// and accepted within 3 s of its commit, also with one daemon cut off.
+func TestWithdrawalAtTodaysSizes(t *testing.T) {
+	for _, n := range []int{9, 11} {
+		for _, cut := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t)
+				defer c.close()
+				doc := c.apply(0, keyed("k"))
+				for i := range n {
+					c.start(i+1, "r").path.Slow(5 * time.Millisecond)
+				}
+				time.Sleep(20 * time.Second)
+				if cut {
+					c.cutPeers(c.at(n-1), wire.CutSilent)
+					c.at(n - 1).path.Set(true)
+				}
+				start := time.Now()
+				doc = c.apply(1, withdrawn(doc, start))
+				a, err := c.at(0).Confirm(context.Background(), doc.Revision)
+				must.NoError(t, err)
+				must.True(t, a.Accepted())
+				must.Less(t, 3*time.Second, time.Since(start))
+				t.Logf("%d daemons, one cut off: %t: accepted in %v", n, cut, time.Since(start))
+				for _, d := range c.all() {
+					must.False(t, serves(d, "k"))
+				}
+				c.heal()
+			})
+		}
+	}
+}
+
 func TestServesThroughOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
--- a/internal/peer/member/slope_test.go
+++ b/internal/peer/member/slope_test.go
@@ -68,13 +68,20 @@
 	c := newCluster(b)
 	defer c.close()
 	c.traffic = &traffic{}
-	c.apply(0, keyed("k"))
+	doc := c.apply(0, keyed("withdrawn", "k"))
 	for i := range n {
 		c.start(i+1, "r")
 	}
 	start := time.Now()
 	c.awaitRegistered(b, n)
 	registeredIn := time.Since(start)
+	start = time.Now()
+	doc.Keys[0].WithdrawnAt = start
+	doc = c.apply(1, doc)
+	a, err := c.at(0).Confirm(context.Background(), doc.Revision)
+	must.NoError(b, err)
+	must.True(b, a.Accepted())
+	acceptedIn := time.Since(start)
 	for _, d := range c.all() {
 		d.path.Set(true)
 	}
@@ -94,6 +101,7 @@
 	b.ReportMetric(bytes, "B/s/daemon")
 	b.ReportMetric(100*processor, "%core/daemon")
 	b.ReportMetric(float64(lapses), "lapses")
+	b.ReportMetric(acceptedIn.Seconds(), "s-to-accept")
 	b.ReportMetric(registeredIn.Seconds(), "s-to-register")
 	if n <= maxRegion {
 		must.Zero(b, lapses)
