Give an answer before its claim is told

Cause: the answer of a request that may not be repeated waited for the table to keep it, up to ten seconds while the store was slow. Before: the caller waited. After: the answer goes first; a graceful shutdown waits for the claim instead, and a repeat meanwhile hears 'may have run'. What has not run waits a second at most, so that a repeat finds no claim. TestAnswerDoesNotWaitForTheTable fails on the commit before.

--- a/internal/caller/proxy/passthrough.go
+++ b/internal/caller/proxy/passthrough.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -222,7 +223,7 @@
 	if err != nil {
 		return refusal.NotRun(refusal.ReasonLimit, time.Time{}, err)
 	}
-	if holds(string(b), key) || holds(r.URL.Path, key) {
+	if key != "" && bytes.Contains(b, []byte(key)) || holds(r.URL.Path, key) {
 		return refusal.NotRun(refusal.ReasonKey, time.Time{}, errArgument)
 	}
 	x.request = requestOf(r, b, key)
@@ -235,7 +236,7 @@
 	return nil
 }
 
-// run has the request run and settles its claim.
+// run has the request run and its claim settled.
 func (x *call) run(ctx context.Context) error {
 	deadline := time.Now().Add(defaultPatience)
 	if d, ok := ctx.Deadline(); ok {
@@ -257,16 +258,37 @@
 		run: attempt.Run{Deadline: deadline, Repeatable: x.route.Repeatable},
 	}
 	err := p.do(ctx, x.attempt)
-	x.settle(ctx, p.run.State())
+	x.settle(p.run.State())
 	return err
 }
 
-// settle tells the claim how the request ended, also when its caller is gone.
-func (x *call) settle(ctx context.Context, s attempt.State) {
+// settle has the claim told how the request ended. An answer does not wait for
+// that; what has not run waits a little, so that a repeat finds no claim.
+func (x *call) settle(s attempt.State) {
 	if x.held == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	// A graceful shutdown waits for it as for a request.
+	ctx, hold := x.ticket.running.BeginOpen(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer hold.End()
+		x.tell(ctx, s)
+	}()
+	if s != attempt.NotSent {
+		return
+	}
+	t := time.NewTimer(releaseWait)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	}
+}
+
+func (x *call) tell(ctx context.Context, s attempt.State) {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	var err error
 	switch {
--- a/internal/caller/proxy/patience_test.go
+++ b/internal/caller/proxy/patience_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingtally/lacewingtally/internal/platform/table"
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
 	"github.com/lacewingtally/lacewingtally/internal/standin/link"
 	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
@@ -58,3 +59,29 @@
 		must.EqOp(t, 1, f.runs("id-1"))
 	})
 }
+
+// TestAnswerDoesNotWaitForTheTable keeps the answer in a table that takes eight
+// seconds for it: the caller has it at once, and a shutdown waits.
+func TestAnswerDoesNotWaitForTheTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := func(_ int, x table.Txn, commit func() error) error {
+			if x.Conditions[0].Version != 0 {
+				time.Sleep(8 * time.Second)
+			}
+			return commit()
+		}
+		f := newFixture(t, fixtureOptions{daemons: 2, services: 1, commit: slow})
+		defer f.close()
+		begun := time.Now()
+		status, _, first := f.post(0, "/bookings", "id-1", "two", nil)
+		must.EqOp(t, http.StatusOK, status)
+		must.EqOp(t, begun, time.Now())
+		status, h, _ := f.post(1, "/bookings", "id-1", "two", nil)
+		must.EqOp(t, http.StatusConflict, status)
+		must.EqOp(t, "MayHaveRun", h.Get("Refusal-Kind"))
+		must.NoError(t, f.daemons[0].running.Drain(f.ctx))
+		must.EqOp(t, 8*time.Second, time.Since(begun))
+		_, _, again := f.post(1, "/bookings", "id-1", "two", nil)
+		must.EqOp(t, first, again)
+	})
+}
--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -31,6 +31,8 @@
 	oncePatience = 10 * time.Second
 	// idLimit bounds a request ID, in bytes.
 	idLimit = 256
+	// releaseWait bounds the wait of a refusal for its claim to be deleted.
+	releaseWait = time.Second
 	// reserveWait is the wait for the reservation of a server.
 	reserveWait = 50 * time.Millisecond
 	// returnAfter is when to come back while a view is unconfirmed.
