--- a/internal/caller/proxy/passthrough.go
+++ b/internal/caller/proxy/passthrough.go
@@ -262,8 +262,8 @@
 	return err
 }
 
-// settle has the claim told how the request ended. An answer does not wait for
-// that; what has not run waits a little, so that a repeat finds no claim.
+// settle has the claim told how the request ended. The caller waits for that for
+// a little, so that a repeat finds the answer, or no claim.
 func (x *call) settle(s attempt.State) {
 	if x.held == nil {
 		return
@@ -276,10 +276,11 @@
 		defer hold.End()
 		x.tell(ctx, s)
 	}()
-	if s != attempt.NotSent {
-		return
+	wait := keepWait
+	if s == attempt.NotSent {
+		wait = releaseWait
 	}
-	t := time.NewTimer(releaseWait)
+	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
 	case <-done:
--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -31,6 +31,8 @@
 	oncePatience = 10 * time.Second
 	// idLimit bounds a request ID, in bytes.
 	idLimit = 256
+	// keepWait bounds the wait of an answer for its claim to keep it.
+	keepWait = 100 * time.Millisecond
 	// releaseWait bounds the wait of a refusal for its claim to be deleted.
 	releaseWait = time.Second
 	// reserveWait is the wait for the reservation of a server.
