Go back to a server that failed when no other one is left

Cause: the dispatchers keep a request waiting for a server that is not excluded, and each failed attempt excluded one more: with every server of a small pool cut once, the request waited for its deadline. A suspect whose servers were all taken did the same. After: the last failed server is excluded as long as the view shows another one; a wait with exclusions lasts two seconds at most and then any server will do; a suspect asks again once the others are done.

--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,8 +26,7 @@
 	before      func(ctx context.Context) (bool, error)
 	options     Options
 	fingerprint quarantine.Fingerprint
-	// request is what is asked of the gate; Exclude grows with each server
-	// that failed.
+	// request is what is asked of the gate; Exclude holds servers that failed.
 	request gate.Request
 	run     attempt.Run
 }
@@ -87,12 +87,8 @@
 			return gate.Grant{}, false, refusal.GaveUp(refusal.ReasonQuarantine, e.Until, nil)
 		}
 		suspect := e.Standing == quarantine.Suspect
-		r := p.request
-		busy := p.busy(suspect)
-		r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], busy...)
-		g, err := p.options.Gate.Acquire(ctx, r)
-		if err != nil && len(busy) > 0 && sleep(ctx, time.Now().Add(reserveWait)) {
-			// Other suspects run on the servers that are left.
+		g, again, err := p.ask(ctx, p.busy(suspect))
+		if again && sleep(ctx, time.Now().Add(reserveWait)) {
 			continue
 		}
 		if err != nil {
@@ -109,6 +105,61 @@
 	}
 }
 
+// ask asks the gate for a server that is neither excluded nor busy, and reports
+// whether to ask anew: the gate holds to what is excluded for as long as the
+// request waits, while the servers and what runs on them change.
+func (p *placement) ask(ctx context.Context, busy []fleet.ServerID) (gate.Grant, bool, error) {
+	r := p.request
+	r.Exclude = append(r.Exclude[:len(r.Exclude):len(r.Exclude)], busy...)
+	if len(busy) > 0 && !p.left(r.Exclude) {
+		return gate.Grant{}, true, refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(returnAfter), nil)
+	}
+	if len(r.Exclude) == 0 {
+		g, err := p.options.Gate.Acquire(ctx, r)
+		return g, false, err
+	}
+	short, cancel := context.WithTimeout(ctx, excludeWait)
+	defer cancel()
+	g, err := p.options.Gate.Acquire(short, r)
+	if err == nil {
+		return g, false, nil
+	}
+	if short.Err() != nil {
+		// A server that failed before is better than none.
+		p.request.Exclude = nil
+		return g, true, err
+	}
+	return g, len(busy) > 0, err
+}
+
+// exclude keeps the next attempts off a server, as long as another one is left.
+func (p *placement) exclude(id fleet.ServerID) {
+	p.request.Exclude = append(p.request.Exclude, id)
+	if p.left(p.request.Exclude) {
+		return
+	}
+	p.request.Exclude = []fleet.ServerID{id}
+	if !p.left(p.request.Exclude) {
+		p.request.Exclude = nil
+	}
+}
+
+// left reports whether the view shows a server that is not excluded. A pool
+// that it does not show at all may have some.
+func (p *placement) left(exclude []fleet.ServerID) bool {
+	shown := false
+	for _, s := range p.options.Source.State().Servers {
+		if s.Pool != p.request.Pool || s.State != fleet.StateLive {
+			continue
+		}
+		shown = true
+		if !slices.Contains(exclude, s.ID) {
+			return true
+		}
+	}
+	return !shown
+}
+
 // again prepares the next attempt, at an instant. One that goes on where the
 // last one ended repeats no token and needs no budget.
 func (p *placement) again(ctx context.Context, g gate.Grant, progress bool, at time.Time) error {
@@ -116,7 +167,7 @@
 	if !progress && !p.options.retry(now, p.request.Workspace) {
 		return p.run.Deny(refusal.ReasonRetryBudget, now.Add(returnAfter), nil)
 	}
-	p.request.Exclude = append(p.request.Exclude, g.Server.ID)
+	p.exclude(g.Server.ID)
 	if !sleep(ctx, at) {
 		return p.final(ctx, p.run.Deny(refusal.ReasonDeadline, time.Time{}, nil))
 	}
--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -21,6 +21,8 @@
 	bodyLimit = 8 << 20
 	// defaultPatience is how long a request without a deadline may take.
 	defaultPatience = 10 * time.Minute
+	// excludeWait bounds one wait for a server that is not excluded.
+	excludeWait = 2 * time.Second
 	// firstPatience bounds the silence of a server in the first attempt of a
 	// repeatable request. Each later attempt bears twice as much, up to
 	// lastPatience: the first one leaves a connection that went silent soon,
