Close keys at each step of a service request; admit by cells in a matrix

TestMatrixServiceKeyClosed (189 cells) withdraws the key or lets the view lapse at each step, singly, twice and in pairs; it fails when an answer is not confirmed before it is given, and when that refusal says 'not run'. TestMatrixServiceWithCells (198 cells) runs the service matrix without pairs over the dispatchers' own admission.

--- a/internal/caller/proxy/matrix_service_test.go
+++ b/internal/caller/proxy/matrix_service_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -25,29 +26,67 @@
 	return bytes.Contains(b, []byte(`"End":true`))
 }
 
-// TestMatrixServiceOnce sends a request that may not be repeated through a
-// daemon, again through another one while faults last, and once more when all
-// is well.
-func TestMatrixServiceOnce(t *testing.T) {
-	faults := []fault{
+// serviceFaults and serviceSteps are those of the matrices of services.
+var (
+	serviceFaults = []fault{
 		faultAnswerLost, faultBreak, faultCrash, faultCrossed, faultDaemonDies, faultDoubled,
 		faultLate, faultNoEnd, faultRefuse, faultSilent, faultStoreDown,
 	}
-	steps := []step{
+	serviceSteps = []step{
 		stepDial, stepClaim, stepWriteBefore, stepWriteDuring, stepWriteAfter,
 		stepFirstByte, stepMiddle, stepEnd, stepRelease,
 	}
-	runCells(t, faults, steps, func(t *testing.T, cell []injection) {
-		synctest.Test(t, func(t *testing.T) { serviceCell(t, cell) })
+)
+
+// TestMatrixServiceOnce sends a request that may not be repeated through a
+// daemon, again through another one while faults last, and once more when all
+// is well.
+func TestMatrixServiceOnce(t *testing.T) {
+	runCells(t, serviceFaults, serviceSteps, func(t *testing.T, cell []injection) {
+		synctest.Test(t, func(t *testing.T) { serviceCell(t, cell, false) })
 	})
 }
 
-func serviceCell(t *testing.T, cell []injection) {
+// TestMatrixServiceWithCells is the part of TestMatrixServiceOnce without pairs,
+// with the dispatchers' own admission: a daemon that dies is also a dispatcher.
+func TestMatrixServiceWithCells(t *testing.T) {
+	n := 0
+	for _, cell := range cells(serviceFaults, serviceSteps) {
+		if len(cell) == 2 && cell[0] != cell[1] {
+			continue
+		}
+		synctest.Test(t, func(t *testing.T) { serviceCell(t, cell, true) })
+		n++
+	}
+	must.EqOp(t, 2*len(serviceFaults)*len(serviceSteps), n)
+	t.Logf("%d cells", n)
+}
+
+// TestMatrixServiceKeyClosed withdraws the key, or lets the view lapse, at each
+// step, once and at two steps: no answer is given after that, and what is said
+// is true.
+func TestMatrixServiceKeyClosed(t *testing.T) {
+	all := cells([]fault{faultKey, faultView}, serviceSteps)
+	for _, cell := range all {
+		synctest.Test(t, func(t *testing.T) {
+			first := serviceCell(t, cell, false)
+			// The release of the claim comes after the answer's last check.
+			if slices.ContainsFunc(cell, func(x injection) bool { return x.step != stepRelease }) {
+				must.NotEqOp(t, http.StatusOK, first, must.Sprintf("cell %v", cell))
+			}
+		})
+	}
+	must.EqOp(t, fullProduct(2, len(serviceSteps)), len(all))
+	t.Logf("%d cells", len(all))
+}
+
+// serviceCell returns the status of the first call.
+func serviceCell(t *testing.T, cell []injection, cells bool) int {
 	i := &injector{}
-	f := newFixture(t, fixtureOptions{daemons: 3, services: 3, decide: i.decide, commit: i.commit})
+	f := newFixture(t, fixtureOptions{daemons: 3, services: 3, cells: cells, decide: i.decide, commit: i.commit})
 	defer f.close()
 	i.arm(f, cell)
-	said := ""
+	said, first := "", 0
 	for n := range 3 {
 		if n == 2 {
 			i.heal()
@@ -58,6 +97,9 @@
 		}
 		begun := time.Now()
 		status, h, body := f.post(n, "/bookings/oven", "id-1", "two hours", header)
+		if n == 0 {
+			first = status
+		}
 		runs := f.runs("id-1")
 		kind := h.Get("Refusal-Kind")
 		said += fmt.Sprintf(" %d/%s", status, kind)
@@ -75,4 +117,5 @@
 	for _, s := range f.services {
 		must.False(t, strings.Contains(string(s.Received()), key), must.Sprintf("cell %v", cell))
 	}
+	return first
 }
