--- a/internal/control/attempt/run_test.go
+++ b/internal/control/attempt/run_test.go
@@ -1,11 +1,13 @@
 package attempt_test
 
 import (
+	"os"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
@@ -101,3 +103,59 @@
 	must.EqOp(t, refusal.ReasonDeadline, d.Refusal.Reason)
 	must.ErrorIs(t, d.Refusal, refusal.ErrNotRun)
 }
+
+// names are those of the recorded traces.
+var (
+	resultNames = map[string]attempt.Result{
+		"Crashed": attempt.ResultCrashed, "Cut": attempt.ResultCut, "NotSent": attempt.ResultNotSent,
+		"Protocol": attempt.ResultProtocol, "Refused": attempt.ResultRefused, "Stopped": attempt.ResultStopped,
+		"Whole": attempt.ResultWhole,
+	}
+	actionNames = map[string]attempt.Action{
+		"Deliver": attempt.Deliver, "Refuse": attempt.Refuse, "Retry": attempt.Retry,
+	}
+)
+
+// trace is a recorded request: the ends of its attempts with what must follow.
+type trace struct {
+	Name       string        `yaml:"Name"`
+	Repeatable bool          `yaml:"Repeatable"`
+	Deadline   time.Duration `yaml:"Deadline"`
+	Steps      []struct {
+		After   time.Duration `yaml:"After"`
+		Result  string        `yaml:"Result"`
+		Want    string        `yaml:"Want"`
+		Wait    time.Duration `yaml:"Wait"`
+		Refusal string        `yaml:"Refusal"`
+	} `yaml:"Steps"`
+}
+
+func TestTraces(t *testing.T) {
+	b, err := os.ReadFile("testdata/run.yaml")
+	must.NoError(t, err)
+	var traces []trace
+	must.NoError(t, yaml.Unmarshal(b, &traces))
+	must.SliceNotEmpty(t, traces)
+	for _, x := range traces {
+		t.Run(x.Name, func(t *testing.T) { replay(t, x) })
+	}
+}
+
+func replay(t *testing.T, x trace) {
+	r := attempt.Run{Deadline: now.Add(x.Deadline), Repeatable: x.Repeatable}
+	at := now
+	for n, s := range x.Steps {
+		note := must.Sprintf("step %d", n)
+		must.True(t, r.Begin(), note)
+		at = at.Add(s.After)
+		d := r.End(at, resultNames[s.Result], nil)
+		must.EqOp(t, actionNames[s.Want], d.Action, note)
+		switch d.Action {
+		case attempt.Retry:
+			must.EqOp(t, s.Wait, d.At.Sub(at), note)
+			at = d.At
+		case attempt.Refuse:
+			must.EqOp(t, s.Refusal, d.Refusal.Error(), note)
+		}
+	}
+}
