--- a/internal/caller/proxy/proxy.go
+++ b/internal/caller/proxy/proxy.go
@@ -21,6 +21,8 @@
 	bodyLimit = 8 << 20
 	// defaultPatience is how long a request without a deadline may take.
 	defaultPatience = 10 * time.Minute
+	// excludeWait bounds one wait for a server that is not excluded.
+	excludeWait = 2 * time.Second
 	// firstPatience bounds the silence of a server in the first attempt of a
 	// repeatable request. Each later attempt bears twice as much, up to
 	// lastPatience: the first one leaves a connection that went silent soon,
@@ -31,6 +33,10 @@
 	oncePatience = 10 * time.Second
 	// idLimit bounds a request ID, in bytes.
 	idLimit = 256
+	// keepWait bounds the wait of an answer for its claim to keep it.
+	keepWait = 100 * time.Millisecond
+	// releaseWait bounds the wait of a refusal for its claim to be deleted.
+	releaseWait = time.Second
 	// reserveWait is the wait for the reservation of a server.
 	reserveWait = 50 * time.Millisecond
 	// returnAfter is when to come back while a view is unconfirmed.
