Keep stand-ins until the spot servers they replace are there

A slot that could not be filled was tried again after a minute, and the standard servers in its place were given back in the same plan: with no spot to be had, each minute stopped running servers and started them again. They now go as the platform takes the spot orders, or one at a time where MaxServers leaves no room for both. A resting slot keeps what it has and counts towards MaxServers, which it did not.

--- a/internal/control/batch/ledger.go
+++ b/internal/control/batch/ledger.go
@@ -142,9 +142,9 @@
 	case cursor == h.Cursor+1:
 		return Batch{}, ErrNotFormed
 	case cursor <= h.Acknowledged:
-		return Batch{}, ErrAcknowledged
+		return Batch{}, errors.Wrapf(ErrAcknowledged, "next cursor is %d", h.Cursor+1)
 	}
-	return Batch{}, ErrCursor
+	return Batch{}, errors.Wrapf(ErrCursor, "next cursor is %d", h.Cursor+1)
 }
 
 // Head returns a trainer's head and the version of its row, 0 for none.
--- a/internal/control/scale/duty.go
+++ b/internal/control/scale/duty.go
@@ -81,6 +81,7 @@
 		return err
 	}
 	d.book.Reconcile(lines)
+	d.planner.InForce(lines)
 	targets := d.targets(time.Now())
 	for range roundsAStep {
 		steps := d.book.Next(time.Now(), d.epoch, targets, d.name)
--- a/internal/control/scale/plan.go
+++ b/internal/control/scale/plan.go
@@ -30,6 +30,11 @@
 	peaks map[fleet.Pool]peak
 	// resting holds until when slots that could not be filled are left alone.
 	resting map[order.Slot]time.Time
+	// filled holds the counts that the platform has in force.
+	filled map[order.Slot]int
+	// standIns holds how many standard servers each pool has in place of spot
+	// ones that could not be had.
+	standIns map[fleet.Pool]int
 }
 
 // Site is where one region's servers may run.
@@ -58,7 +63,7 @@
 	rest := max(0, min(p.peak(now, c.Name, demand), most)-sum(standard))
 	spot := make([]int, len(s.Domains))
 	if c.SpotAllowed {
-		rest = p.spread(now, s, c.Name, spot, rest)
+		rest = p.spread(now, s, c.Name, spot, rest, max(rest, most-sum(standard)))
 	}
 	for ; rest > 0; rest-- {
 		standard[least(standard, nil)]++
@@ -69,7 +74,9 @@
 			order.Line{Slot: slot(s.Region, d, c.Name, fleet.Spot), Count: spot[i]},
 			order.Line{Slot: slot(s.Region, d, c.Name, fleet.Standard), Count: standard[i]})
 	}
-	lines = slices.DeleteFunc(lines, func(l order.Line) bool { return !clock.Passed(now, p.resting[l.Slot]) })
+	lines = slices.DeleteFunc(lines, func(l order.Line) bool {
+		return l.Slot.Kind == fleet.Standard && !clock.Passed(now, p.resting[l.Slot])
+	})
 	slices.SortFunc(lines, func(a, b order.Line) int { return order.Compare(a.Slot, b.Slot) })
 	return lines
 }
@@ -82,6 +89,14 @@
 	p.resting[s] = now.Add(unfilledRest)
 }
 
+// InForce takes the targets that the platform has in force.
+func (p *Planner) InForce(lines []order.Line) {
+	p.filled = make(map[order.Slot]int, len(lines))
+	for _, l := range lines {
+		p.filled[l.Slot] = l.Count
+	}
+}
+
 // Floor spreads standard servers over a number of failure domains such that
 // any one of them can be lost and floor servers remain, with as few servers as
 // possible. With one domain there is no such spread, and Floor returns floor.
@@ -114,22 +129,43 @@
 	return k.servers
 }
 
-// spread puts spot servers where there are fewest and returns how many found
-// no place.
-func (p *Planner) spread(now time.Time, s Site, pool fleet.Pool, spot []int, rest int) int {
+// spread puts the servers above the floor, rest of at most so many, where there
+// are fewest spot ones, and returns how many standard servers stand in for
+// them. Stand-ins go only as the platform takes the spot orders that replace
+// them, or one at a time where most leaves no room for both, so that asking
+// for spot again does little harm when there is still none.
+func (p *Planner) spread(now time.Time, s Site, pool fleet.Pool, spot []int, rest, most int) int {
 	open := make([]bool, len(s.Domains))
 	found := false
+	filled, placed := 0, 0
 	for i, d := range s.Domains {
-		open[i] = clock.Passed(now, p.resting[slot(s.Region, d, pool, fleet.Spot)])
+		k := slot(s.Region, d, pool, fleet.Spot)
+		open[i] = clock.Passed(now, p.resting[k])
 		found = found || open[i]
+		filled += p.filled[k]
+		if !open[i] {
+			// A resting slot keeps what it has.
+			spot[i] = min(p.filled[k], rest-placed)
+			placed += spot[i]
+		}
 	}
+	if p.standIns == nil {
+		p.standIns = make(map[fleet.Pool]int)
+	}
+	missing := max(0, rest-filled)
 	if !found {
-		return rest
+		p.standIns[pool] = missing
+		return missing
 	}
-	for ; rest > 0; rest-- {
+	standing := min(missing, p.standIns[pool])
+	if standing > 0 && filled+standing >= most {
+		standing--
+	}
+	p.standIns[pool] = standing
+	for range min(rest, most-standing) - placed {
 		spot[least(spot, open)]++
 	}
-	return 0
+	return standing
 }
 
 // least returns the index of the smallest count among the open ones; nil means
