--- a/internal/caller/rollout/driver.go
+++ b/internal/caller/rollout/driver.go
@@ -80,7 +80,7 @@
 // act carries out what the dispatcher decides.
 func (d *driver) act(ctx context.Context) {
 	var a batch.Actions
-	_ = d.loop.Do(ctx, func(now time.Time) {
+	err := d.loop.Do(ctx, func(now time.Time) {
 		d.dispatcher.Grant(d.granted(now))
 		a = d.dispatcher.Decide(now)
 		for _, s := range a.Stops {
@@ -92,6 +92,10 @@
 			d.start(ctx, now, s)
 		}
 	})
+	if err != nil {
+		// The loop may still be at work on a.
+		return
+	}
 	for _, f := range a.Finishes {
 		d.wait.Go(func() { d.finish(ctx, f) })
 	}
@@ -163,14 +167,14 @@
 // trainer's spare groups take its place.
 func (d *driver) abandon(ctx context.Context, id batch.GroupID) {
 	var found batch.Pending
-	_ = d.loop.Do(ctx, func(time.Time) {
+	err := d.loop.Do(ctx, func(time.Time) {
 		for _, p := range d.dispatcher.Groups() {
 			if p.Group == id {
 				found = p
 			}
 		}
 	})
-	if found.Group == "" {
+	if err != nil || found.Group == "" {
 		return
 	}
 	if err := d.parts.Ledger.Abandon(ctx, d.trainer, found); err != nil {
@@ -233,7 +237,7 @@
 	for _, p := range pending {
 		wanted[round{group: p.Group, round: p.Round}] = p
 	}
-	_ = d.loop.Do(ctx, func(time.Time) {
+	err := d.loop.Do(ctx, func(time.Time) {
 		for _, known := range d.dispatcher.Groups() {
 			k := round{group: known.Group, round: known.Round}
 			p, ok := wanted[k]
@@ -245,6 +249,9 @@
 			delete(wanted, k)
 		}
 	})
+	if err != nil {
+		return
+	}
 	for _, p := range wanted {
 		if err := d.add(ctx, p); err != nil {
 			return
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -138,17 +138,30 @@
 	return w
 }
 
-func (w *world) daemon(t *testing.T, n int) daemon {
+// keyOfTests is the hash of the key that is granted.
+var keyOfTests = config.HashKey("k")
+
+// member adds a daemon to the view.
+func (w *world) member(n int) fleet.Member {
 	m := fleet.Member{ID: fleet.MemberID{
 		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)), Incarnation: fleet.Incarnation(fmt.Sprint(n)),
 	}}
 	w.members = append(w.members, m)
-	w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
-	p := rollout.Parts{
+	w.view.set(w.members, config.Key{Hash: keyOfTests, Workspace: "w"})
+	return m
+}
+
+func (w *world) daemon(t *testing.T, n int) daemon {
+	m := w.member(n)
+	ctx, cancel := context.WithCancel(t.Context())
+	return run(ctx, cancel, rollout.Parts{
 		Events: events{}, Generator: &w.generator, Self: m.ID, View: &w.view, Weights: &w.weights,
 		Ledger: batch.NewLedger(&w.table, &w.objects, m.ID.Incarnation),
-	}
-	ctx, cancel := context.WithCancel(t.Context())
+	})
+}
+
+// run runs a daemon until the context ends; stop ends it and waits.
+func run(ctx context.Context, cancel context.CancelFunc, p rollout.Parts) daemon {
 	done := make(chan struct{})
 	r := rollout.NewRunner(p)
 	go func() {
