--- a/internal/caller/rollout/matrix_test.go
+++ b/internal/caller/rollout/matrix_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,8 +18,6 @@
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/caller/rollout"
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
-	"github.com/lacewingtally/lacewingtally/internal/platform/object"
-	"github.com/lacewingtally/lacewingtally/internal/platform/rest"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
 	"github.com/lacewingtally/lacewingtally/internal/standin/matrix"
 )
@@ -31,19 +28,16 @@
 	stepPending matrix.Step = "Pending"
 	stepGroup   matrix.Step = "Group"
 	stepChunk   matrix.Step = "Chunk"
-	stepPut     matrix.Step = "Put"
 	stepFinish  matrix.Step = "Finish"
 	stepForm    matrix.Step = "Form"
-	stepGet     matrix.Step = "Get"
 )
 
 const (
 	callLimit = 5 * time.Second
 	runLimit  = 4 * time.Minute
-	shards    = 4
 )
 
-var steps = []matrix.Step{stepOwn, stepPending, stepGroup, stepChunk, stepPut, stepFinish, stepForm, stepGet}
+var steps = []matrix.Step{stepOwn, stepPending, stepGroup, stepChunk, matrix.StepPut, stepFinish, stepForm, matrix.StepGet}
 
 func step(commit bool, keys []table.Key) matrix.Step {
 	k := string(keys[0])
@@ -62,43 +56,16 @@
 	return ""
 }
 
-// objects and through are the object store and the generator as one process
-// sees them.
-type objects struct {
-	*object.Memory
-	process *matrix.Process
-}
-
+// through is the generator as one process sees it.
 type through struct {
 	inner   gate.Generator
 	process *matrix.Process
 }
 
-func faulty() matrix.Errors {
-	return matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
-}
-
-func (o objects) Get(_ context.Context, k object.Key) ([]byte, error) {
-	var found []byte
-	err := o.process.Do(stepGet, faulty(), func() error {
-		f, err := o.Memory.Get(context.Background(), k)
-		found = f
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	return found, nil
-}
-
-func (o objects) Put(_ context.Context, k object.Key, body []byte) error {
-	return o.process.Do(stepPut, faulty(), func() error { return o.Memory.Put(context.Background(), k, body) })
-}
-
 // Generate loses the chunk or the stream where a fault hits a chunk.
 func (g through) Generate(ctx context.Context, r gate.Generation, emit func(engine.Chunk) error) error {
 	return g.inner.Generate(ctx, r, func(c engine.Chunk) error {
-		return g.process.Do(stepChunk, faulty(), func() error { return emit(c) })
+		return g.process.Do(stepChunk, matrix.Rest(), func() error { return emit(c) })
 	})
 }
 
@@ -116,7 +83,7 @@
 	m := w.member(n)
 	parts := rollout.Parts{
 		Events: events{}, Generator: through{inner: &w.generator, process: p}, Self: m.ID, View: &w.view, Weights: &w.weights,
-		Ledger: batch.NewLedger(seen, objects{Memory: &w.objects, process: p}, fleet.Incarnation(fmt.Sprint(n))),
+		Ledger: batch.NewLedger(seen, matrix.Objects{Inner: &w.objects, Process: p}, fleet.Incarnation(fmt.Sprint(n))),
 	}
 	return node{process: p, daemon: run(ctx, kill, parts)}
 }
@@ -169,7 +136,6 @@
 		if errors.Is(err, errDead) {
 			err = nil
 		}
-		err = errors.Wrap(err, c.String())
 	})
 	return err
 }
@@ -216,23 +182,7 @@
 }
 
 func TestMatrixRolloutOutlivesItsDaemons(t *testing.T) {
-	cells := matrix.Cells(steps, matrix.All())
-	var ran atomic.Int64
-	t.Run("Cells", func(t *testing.T) {
-		for shard := range shards {
-			t.Run(fmt.Sprint(shard), func(t *testing.T) {
-				t.Parallel()
-				for n := shard; n < len(cells); n += shards {
-					ran.Add(1)
-					if err := live(t, cells[n]); err != nil {
-						t.Error(err)
-					}
-				}
-			})
-		}
-	})
-	must.Eq(t, matrix.Count(len(steps), len(matrix.All())), int(ran.Load()))
-	t.Logf("cells: %d (%d steps, %d faults, singly, twice, in pairs)", ran.Load(), len(steps), len(matrix.All()))
+	matrix.Run(t, steps, 1, func(t *testing.T, c matrix.Cell, _ int) error { return live(t, c) })
 }
 
 func TestNoFaults(t *testing.T) {
--- a/internal/control/batch/matrix_test.go
+++ b/internal/control/batch/matrix_test.go
@@ -27,13 +27,11 @@
 	stepHead     matrix.Step = "Head"
 	stepSubmit   matrix.Step = "Submit"
 	stepPending  matrix.Step = "Pending"
-	stepPut      matrix.Step = "Put"
 	stepFinish   matrix.Step = "Finish"
 	stepReady    matrix.Step = "Ready"
 	stepSendBack matrix.Step = "SendBack"
 	stepForm     matrix.Step = "Form"
 	stepFetch    matrix.Step = "Fetch"
-	stepGet      matrix.Step = "Get"
 	stepAnswer   matrix.Step = "Answer"
 )
 
@@ -42,14 +40,12 @@
 	callLimit = 3 * time.Second
 	// runLimit bounds a run.
 	runLimit = 5 * time.Minute
-	// shards is how many cells run at once.
-	shards = 4
 	// trainerSteps is how many batches the trainer fetches.
 	trainerSteps = 3
 )
 
 var steps = []matrix.Step{
-	stepHead, stepSubmit, stepPending, stepPut, stepFinish, stepReady, stepSendBack, stepForm, stepFetch, stepGet, stepAnswer,
+	stepHead, stepSubmit, stepPending, matrix.StepPut, stepFinish, stepReady, stepSendBack, stepForm, stepFetch, matrix.StepGet, stepAnswer,
 }
 
 func step(commit bool, keys []table.Key) matrix.Step {
@@ -75,33 +71,6 @@
 	return ""
 }
 
-// objects is the object store as one process sees it.
-type objects struct {
-	*object.Memory
-	process *matrix.Process
-}
-
-func (o objects) errors() matrix.Errors {
-	return matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
-}
-
-func (o objects) Get(_ context.Context, k object.Key) (b []byte, err error) {
-	var found []byte
-	err = o.process.Do(stepGet, o.errors(), func() error {
-		f, err := o.Memory.Get(context.Background(), k)
-		found = f
-		return err
-	})
-	if err != nil {
-		return nil, err
-	}
-	return found, nil
-}
-
-func (o objects) Put(_ context.Context, k object.Key, body []byte) error {
-	return o.process.Do(stepPut, o.errors(), func() error { return o.Memory.Put(context.Background(), k, body) })
-}
-
 // world is one life of two daemons and a trainer.
 type world struct {
 	table   table.Memory
@@ -130,7 +99,7 @@
 	ctx, kill := context.WithCancel(ctx)
 	d := &worker{process: matrix.NewProcess(i, kill)}
 	t := &matrix.Table{Inner: &w.table, Process: d.process, Step: step}
-	d.ledger = batch.NewLedger(t, objects{Memory: &w.objects, process: d.process}, fleet.Incarnation(fmt.Sprint(n)))
+	d.ledger = batch.NewLedger(t, matrix.Objects{Inner: &w.objects, Process: d.process}, fleet.Incarnation(fmt.Sprint(n)))
 	w.daemons = append(w.daemons, d)
 	d.wait.Go(func() {
 		for ctx.Err() == nil {
@@ -163,8 +132,7 @@
 	answer := make(chan result, 1)
 	w.late.Go(func() {
 		var found batch.Batch
-		lost := matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
-		err := d.process.Do(stepAnswer, lost, func() error {
+		err := d.process.Do(stepAnswer, matrix.Rest(), func() error {
 			got, err := f(d.ledger)
 			found = got
 			return err
@@ -299,29 +267,12 @@
 		if errors.Is(err, errDead) {
 			err = nil
 		}
-		err = errors.Wrap(err, c.String())
 	})
 	return err
 }
 
 func TestMatrixSamplesDeliveredOnceAndFresh(t *testing.T) {
-	cells := matrix.Cells(steps, matrix.All())
-	var ran atomic.Int64
-	t.Run("Cells", func(t *testing.T) {
-		for shard := range shards {
-			t.Run(fmt.Sprint(shard), func(t *testing.T) {
-				t.Parallel()
-				for n := shard; n < len(cells); n += shards {
-					ran.Add(1)
-					if err := run(t, cells[n]); err != nil {
-						t.Error(err)
-					}
-				}
-			})
-		}
-	})
-	must.Eq(t, matrix.Count(len(steps), len(matrix.All())), int(ran.Load()))
-	t.Logf("cells: %d (%d steps, %d faults, singly, twice, in pairs)", ran.Load(), len(steps), len(matrix.All()))
+	matrix.Run(t, steps, 1, func(t *testing.T, c matrix.Cell, _ int) error { return run(t, c) })
 }
 
 func TestNoFaults(t *testing.T) {
--- a/internal/control/scale/matrix_test.go
+++ b/internal/control/scale/matrix_test.go
@@ -42,9 +42,6 @@
 	stepSettle  matrix.Step = "Settle"
 )
 
-// shards is how many cells run at once.
-const shards = 4
-
 var steps = []matrix.Step{
 	stepEpoch, stepIntents, stepPlaced, stepList, stepIntent, stepPlace, stepChecked, stepFind, stepSettle,
 }
@@ -62,12 +59,8 @@
 	world   *world
 }
 
-func (r receiver) errors() matrix.Errors {
-	return matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
-}
-
 func (r receiver) Find(ctx context.Context, q order.Query) (o order.Order, err error) {
-	err = r.process.Do(stepFind, r.errors(), func() error {
+	err = r.process.Do(stepFind, matrix.Rest(), func() error {
 		found, err := r.world.orders.Find(context.WithoutCancel(ctx), q)
 		o = found
 		return err
@@ -77,7 +70,7 @@
 
 func (r receiver) List(ctx context.Context, g fleet.Region) (l []order.Line, err error) {
 	var found []order.Line
-	err = r.process.Do(stepList, r.errors(), func() error {
+	err = r.process.Do(stepList, matrix.Rest(), func() error {
 		f, err := r.world.orders.List(context.WithoutCancel(ctx), g)
 		found = f
 		return err
@@ -90,10 +83,10 @@
 
 func (r receiver) Place(ctx context.Context, o order.Order) error {
 	check := func() error { return rest.CheckGuard(ctx) }
-	if err := r.process.Do(stepPlace, r.errors(), check); err != nil {
+	if err := r.process.Do(stepPlace, matrix.Rest(), check); err != nil {
 		return err
 	}
-	return r.process.Do(stepChecked, r.errors(), func() error {
+	return r.process.Do(stepChecked, matrix.Rest(), func() error {
 		err := r.world.orders.Place(context.Background(), o)
 		if err == nil {
 			r.world.arrive(o)
@@ -243,7 +236,7 @@
 // that remains: its order arrives late, and must then be put right.
 func (w *world) check(t *testing.T, c matrix.Cell, fenced bool, a, b *matrix.Process) error {
 	if len(w.wrong) > 0 {
-		return errors.Errorf("%s: %v", c, w.wrong)
+		return errors.Errorf("%v", w.wrong)
 	}
 	var newest fleet.Epoch
 	var seen set.Set[order.ID]
@@ -256,10 +249,10 @@
 	}
 	open := !fenced && (c.Has(stepChecked, matrix.FreezeBefore) || c.Has(stepPlace, matrix.FreezeAfter))
 	if len(w.afterwards) > 0 && !open {
-		return errors.Errorf("%s: arrived after they were given up: %v", c, w.afterwards)
+		return errors.Errorf("arrived after they were given up: %v", w.afterwards)
 	}
 	if stale > 0 && !open {
-		return errors.Errorf("%s: %d orders of an earlier epoch", c, stale)
+		return errors.Errorf("%d orders of an earlier epoch", stale)
 	}
 	late.Add(int64(stale))
 	if a.Dead() && b.Dead() {
@@ -270,7 +263,7 @@
 		return err
 	}
 	if standard, spot := count(lines); standard != 3 || spot != 2 {
-		return errors.Errorf("%s: ended with %d standard and %d spot servers", c, standard, spot)
+		return errors.Errorf("ended with %d standard and %d spot servers", standard, spot)
 	}
 	return nil
 }
@@ -279,25 +272,7 @@
 var late atomic.Int64
 
 func TestMatrixOneProcessInChargeOfOrders(t *testing.T) {
-	cells := matrix.Cells(steps, matrix.All())
-	var ran atomic.Int64
-	t.Run("Cells", func(t *testing.T) {
-		for shard := range shards {
-			t.Run(fmt.Sprint(shard), func(t *testing.T) {
-				t.Parallel()
-				for n := shard; n < 2*len(cells); n += shards {
-					ran.Add(1)
-					fenced := n%2 == 0
-					if err := run(t, cells[n/2], fenced); err != nil {
-						t.Errorf("fenced %v: %v", fenced, err)
-					}
-				}
-			})
-		}
-	})
-	must.Eq(t, 2*matrix.Count(len(steps), len(matrix.All())), int(ran.Load()))
-	t.Logf("cells: %d (%d steps, %d faults, singly, twice, in pairs; receiver fenced and not)",
-		ran.Load(), len(steps), len(matrix.All()))
+	matrix.Run(t, steps, 2, func(t *testing.T, c matrix.Cell, variant int) error { return run(t, c, variant == 0) })
 	t.Logf("orders that came late in the window that remains, all put right: %d", late.Load())
 	must.Positive(t, late.Load(), must.Sprint("the window that remains was not reached"))
 }
--- a/internal/control/window/matrix_test.go
+++ b/internal/control/window/matrix_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,12 +36,8 @@
 	stepAdvance matrix.Step = "Advance"
 )
 
-const (
-	// interval is that of the duty's steps and of the traffic.
-	interval = 5 * time.Second
-	// shards is how many cells run at once.
-	shards = 4
-)
+// interval is that of the duty's steps and of the traffic.
+const interval = 5 * time.Second
 
 var steps = []matrix.Step{
 	stepBegin, stepPart, stepLook, stepCursor, stepClose, stepParts, stepSeal, stepReport, stepChecked, stepAdvance,
@@ -95,12 +90,11 @@
 	if strings.HasPrefix(p.Window, "1999") {
 		return r.usage.Report(ctx, p)
 	}
-	e := matrix.Errors{Unavailable: rest.ErrUnavailable, Unknown: rest.ErrUnknown}
 	check := func() error { return rest.CheckGuard(ctx) }
-	if err := r.process.Do(stepReport, e, check); err != nil {
+	if err := r.process.Do(stepReport, matrix.Rest(), check); err != nil {
 		return err
 	}
-	return r.process.Do(stepChecked, e, func() error { return r.usage.Report(context.Background(), p) })
+	return r.process.Do(stepChecked, matrix.Rest(), func() error { return r.usage.Report(context.Background(), p) })
 }
 
 // step names the step of a call. The windows before the first use are empty
@@ -190,7 +184,7 @@
 			d.process.Wait()
 		}
 		if err = check(t, c, u.Arrived(), a, b); err == nil {
-			err = sealedAsReported(t, m, c, u.Arrived())
+			err = sealedAsReported(t, m, u.Arrived())
 		}
 	})
 	return err
@@ -209,12 +203,12 @@
 	var total uint64
 	for _, r := range reports {
 		if r.Epoch < newest && !open {
-			return errors.Errorf("%s: report of epoch %d after %d", c, r.Epoch, newest)
+			return errors.Errorf("report of epoch %d after %d", r.Epoch, newest)
 		}
 		newest = max(newest, r.Epoch)
 		if known, ok := bodies[r.Window]; ok {
 			if known != string(r.Body) {
-				return errors.Errorf("%s: two figures of %s", c, r.Window)
+				return errors.Errorf("two figures of %s", r.Window)
 			}
 			continue
 		}
@@ -238,21 +232,21 @@
 		lost = counted
 	}
 	if total > counted || total+lost < counted {
-		return errors.Errorf("%s: reported %d of %d, %d may be lost", c, total, counted, lost)
+		return errors.Errorf("reported %d of %d, %d may be lost", total, counted, lost)
 	}
 	return nil
 }
 
 // sealedAsReported returns an error when a row holds other figures than were
 // reported for its window.
-func sealedAsReported(t *testing.T, m *table.Memory, c matrix.Cell, reports []usage.Report) error {
+func sealedAsReported(t *testing.T, m *table.Memory, reports []usage.Report) error {
 	for _, r := range reports {
 		rows, err := m.Read(t.Context(), table.Key("Usage/r/Sealed/"+r.Window))
 		must.NoError(t, err)
 		var s struct{ Body []byte }
 		must.NoError(t, json.Unmarshal(rows[0].Value, &s))
 		if string(s.Body) != string(r.Body) {
-			return errors.Errorf("%s: sealed row of %s changed after the report", c, r.Window)
+			return errors.Errorf("sealed row of %s changed after the report", r.Window)
 		}
 	}
 	return nil
@@ -263,23 +257,7 @@
 const mayLose = 15
 
 func TestMatrixWindowsReportedOnce(t *testing.T) {
-	cells := matrix.Cells(steps, matrix.All())
-	var ran atomic.Int64
-	t.Run("Cells", func(t *testing.T) {
-		for shard := range shards {
-			t.Run(fmt.Sprint(shard), func(t *testing.T) {
-				t.Parallel()
-				for n := shard; n < len(cells); n += shards {
-					ran.Add(1)
-					if err := run(t, cells[n]); err != nil {
-						t.Error(err)
-					}
-				}
-			})
-		}
-	})
-	must.Eq(t, matrix.Count(len(steps), len(matrix.All())), int(ran.Load()))
-	t.Logf("cells: %d (%d steps, %d faults, singly, twice, in pairs)", ran.Load(), len(steps), len(matrix.All()))
+	matrix.Run(t, steps, 1, func(t *testing.T, c matrix.Cell, _ int) error { return run(t, c) })
 }
 
 func TestNoFaults(t *testing.T) {
