End the cells of the orders' matrix once nothing new can come

A cell without a freeze ends five seconds after its faults have happened and the targets are reached; the generator of the rollout matrix sends five tokens a chunk.

--- a/internal/caller/rollout/matrix_test.go
+++ b/internal/caller/rollout/matrix_test.go
@@ -124,6 +124,7 @@
 func live(t *testing.T, c matrix.Cell) (err error) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
+		w.generator.burst = 5
 		i := matrix.NewInjector(c)
 		nodes := []node{w.node(t, i, 1), w.node(t, i, 2)}
 		var late sync.WaitGroup
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -36,6 +37,8 @@
 type generator struct {
 	mutex   sync.Mutex
 	version fleet.WeightVersion
+	// burst is how many tokens come in one chunk; 0 is one.
+	burst int
 	// started counts the generations and tokens their tokens.
 	started int
 	tokens  int
@@ -51,15 +54,16 @@
 	g.mutex.Lock()
 	g.started++
 	g.mutex.Unlock()
-	for i := r.Offset; i < r.MaxTokens; i++ {
+	n := max(1, g.burst)
+	for i := r.Offset; i < r.MaxTokens; i += n {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(time.Duration(n) * 100 * time.Millisecond):
 		}
 		g.mutex.Lock()
 		v := g.version
-		g.tokens++
+		g.tokens += n
 		if g.swapAt > 0 && i >= g.swapAt {
 			v = 2
 		}
@@ -71,7 +75,7 @@
 		if g.cutAt > 0 && r.Offset == 0 && i == g.cutAt {
 			return refusal.MayHaveRun(refusal.ReasonServer, time.Now().Add(time.Second), nil)
 		}
-		if err := emit(engine.Chunk{Offset: i, Text: "x", Tokens: 1, Version: v, End: i+1 == r.MaxTokens}); err != nil {
+		if err := emit(engine.Chunk{Offset: i, Text: strings.Repeat("x", n), Tokens: n, Version: v, End: i+n == r.MaxTokens}); err != nil {
 			return err
 		}
 	}
--- a/internal/control/scale/matrix_test.go
+++ b/internal/control/scale/matrix_test.go
@@ -220,7 +220,7 @@
 		time.Sleep(10 * time.Second)
 		// While a process may be frozen, there is something else to order.
 		w.demand.Store(5)
-		time.Sleep(2*matrix.Freeze + 15*time.Second)
+		w.settle(t, c, i)
 		stop()
 		waitA.Wait()
 		waitB.Wait()
@@ -231,6 +231,27 @@
 	return err
 }
 
+// settle waits until a cell can bring nothing new: its hits have happened, a
+// frozen process has gone on, and the targets were reached some time ago.
+func (w *world) settle(t *testing.T, c matrix.Cell, i *matrix.Injector) {
+	wait := 2*matrix.Freeze + 15*time.Second
+	if !c.HasFault(matrix.FreezeBefore, matrix.FreezeAfter) {
+		// A takeover and the wait for open intents fit twice.
+		wait = 2 * (lease.Term + lease.LookEvery + scale.Life + 2*time.Second)
+	}
+	calm := 0
+	for end := time.Now().Add(wait); time.Now().Before(end) && calm < 5; {
+		time.Sleep(time.Second)
+		lines, err := w.orders.List(t.Context(), "r")
+		must.NoError(t, err)
+		if standard, spot := count(lines); standard != 3 || spot != 2 || !i.Done() || c.HasFault(matrix.FreezeBefore, matrix.FreezeAfter) {
+			calm = 0
+			continue
+		}
+		calm++
+	}
+}
+
 // check returns what went wrong in a run. A holder that is frozen between its
 // last check and the write to a receiver that checks nothing is the window
 // that remains: its order arrives late, and must then be put right.
--- a/internal/standin/matrix/matrix.go
+++ b/internal/standin/matrix/matrix.go
@@ -44,8 +44,8 @@
 	Fault Fault
 }
 
-// Injector hands the faults of one cell out. Use NewInjector. Its method may
-// be called from any goroutine.
+// Injector hands the faults of one cell out. Use NewInjector. Its methods
+// may be called from any goroutine.
 type Injector struct {
 	mutex sync.Mutex
 	// left are the hits that have not happened yet, in order.
@@ -109,6 +109,13 @@
 	return strings.Join(parts, "+")
 }
 
+// Done reports whether every hit has happened.
+func (i *Injector) Done() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return len(i.left) == 0
+}
+
 // Take returns the fault that hits this occasion of a step, empty for none.
 func (i *Injector) Take(s Step) Fault {
 	i.mutex.Lock()
