Say that a request is repeated; record an accepted change once

Cause: the time line showed each accepted change twice, once without who and why; the command line could not set the header Request-Repeat.

--- a/internal/daemon/command/command_test.go
+++ b/internal/daemon/command/command_test.go
@@ -206,7 +206,7 @@
 		return
 	}
 	b, _ := io.ReadAll(r.Body)
-	fmt.Fprintf(w, "%s %s %s %s", r.Method, r.URL.Path, r.Header.Get("Request-Id"), b)
+	fmt.Fprintf(w, "%s %s %s %s %s", r.Method, r.URL.Path, r.Header.Get("Request-Id"), b, r.Header.Get("Request-Repeat"))
 }
 
 // loseApply lets changes take effect and loses the answers.
--- a/internal/daemon/command/service.go
+++ b/internal/daemon/command/service.go
@@ -15,6 +15,7 @@
 // Headers of plain requests and their answers.
 const (
 	headerRefusal    = "Refusal-Kind"
+	headerRepeat     = "Request-Repeat"
 	headerRequestID  = "Request-Id"
 	headerRetryAfter = "Retry-After"
 )
@@ -32,6 +33,8 @@
 	path   string
 	body   string
 	id     string
+	// repeat is whether the request was sent before under the same ID.
+	repeat bool
 	wait   time.Duration
 }
 
@@ -48,6 +51,7 @@
 	v.Flag("method", "HTTP method.").Default(http.MethodPost).StringVar(&p.method)
 	v.Flag("body", "Body of the request.").StringVar(&p.body)
 	v.Flag("request-id", "ID of the request, the same in every repeat of it.").StringVar(&p.id)
+	v.Flag("repeat", "Say that the request was sent before, so that a refusal speaks of all sendings.").BoolVar(&p.repeat)
 	v.Flag("deadline", "Longest time to wait.").Default(defaultDeadline).DurationVar(&p.wait)
 	v.Action(func(*kingpin.ParseContext) error {
 		w, err := s.callService(p)
@@ -76,6 +80,9 @@
 	if p.id != "" {
 		r.Header.Set(headerRequestID, p.id)
 	}
+	if p.repeat {
+		r.Header.Set(headerRepeat, "true")
+	}
 	if s.keyFile != "" {
 		k, err := readKey(s.keyFile)
 		if err != nil {
--- a/internal/peer/member/confirm.go
+++ b/internal/peer/member/confirm.go
@@ -11,7 +11,6 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/member"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
-	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 )
 
 const (
@@ -70,9 +69,6 @@
 		return Confirmation{}, ctx.Err()
 	case <-time.After(view.ContactWindow + confirmMargin):
 	}
-	if a.Accepted() {
-		r.record(timeline.Event{Kind: timeline.ConfigAccepted, Revision: revision})
-	}
 	return a, nil
 }
 
