Ping seldom while all is well, and fast when the view is about to lapse

Ruled out: one slow rate for all times (views lapse in an outage of the table) and slow pings while members are silent (TestAllKilledAndRestarted failed: restarted daemons took over ten seconds to learn that the old runs had ended). After: the runtime takes the view's decision: one ping in 400 ms while the table confirms and all members answer, three in 200 ms with less than a second left, else one in 200 ms.

--- a/internal/control/view/view.go
+++ b/internal/control/view/view.go
@@ -234,14 +234,17 @@
 }
 
 // Pings returns how many pings to send at now, when asked once each PingEvery:
-// fewer than one each time while the table confirms, several when the view is
-// about to lapse.
+// several when the view is about to lapse, and fewer than one each time when the
+// table confirms and every member answers.
 func (v *View) Pings(now time.Time) int {
 	v.ticks++
 	if clock.Elapsed(now, v.ConfirmedUntil()) < urgentLeft {
 		return urgentPings
 	}
-	return v.ticks % calmTicks / (calmTicks - 1)
+	if v.allHeard(now) && v.ticks%calmTicks != 0 {
+		return 0
+	}
+	return 1
 }
 
 // Set returns the set held.
@@ -335,6 +338,16 @@
 	v.advance(now, now.Add(-ages[n-1]))
 }
 
+// allHeard reports whether the daemon is a member and all others answer.
+func (v *View) allHeard(now time.Time) bool {
+	for _, m := range v.set.Members {
+		if m.ID != v.Self.ID && time.Duration(v.age(now, m.ID))*AgeUnit > ContactWindow {
+			return false
+		}
+	}
+	return v.set.Contains(v.Self.ID)
+}
+
 func (v *View) contact(now time.Time, id fleet.MemberID, at time.Time) {
 	if v.contacts == nil {
 		v.contacts = make(map[fleet.MemberID]time.Time)
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -41,8 +41,6 @@
 	maxPings = 8
 	// maxReads bounds the reads of the heads in flight.
 	maxReads = 2
-	// pingInterval is the time between two pings.
-	pingInterval = 200 * time.Millisecond
 	// pingTimeout bounds one ping.
 	pingTimeout = 500 * time.Millisecond
 	// publishStep is how much later a published state must end for the sake
--- a/internal/peer/member/ping.go
+++ b/internal/peer/member/ping.go
@@ -14,6 +14,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/control/member"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
@@ -128,9 +129,9 @@
 	return g.Wait()
 }
 
-// pickTargets sends whom to ping at each interval, if a worker is idle.
+// pickTargets sends whom to ping at each interval, to workers that are idle.
 func (r *Runtime) pickTargets(ctx context.Context, random *rand.Rand, targets chan<- fleet.MemberID) error {
-	t := time.NewTicker(pingInterval)
+	t := time.NewTicker(view.PingEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -138,33 +139,39 @@
 			return ctx.Err()
 		case <-t.C:
 		}
-		m, err := ask(ctx, r, func(now time.Time) option.Option[fleet.MemberID] {
+		ids, err := ask(ctx, r, func(now time.Time) []fleet.MemberID {
 			r.tend(now)
 			return r.pick(now, random)
 		})
-		to, ok := m.Get()
-		if err != nil || !ok {
+		if err != nil {
 			continue
 		}
-		select {
-		case targets <- to:
-		default:
+		for _, to := range ids {
+			select {
+			case targets <- to:
+			default:
+			}
 		}
 	}
 }
 
-// pick returns whom to ping next. A daemon that is not registered asks the
+// pick returns whom to ping now. A daemon that is not registered asks the
 // member that adds candidates every other time.
-func (r *Runtime) pick(now time.Time, random *rand.Rand) option.Option[fleet.MemberID] {
+func (r *Runtime) pick(now time.Time, random *rand.Rand) []fleet.MemberID {
 	c := &r.control
 	first := firstOf(c.members, r.self.Region)
-	if first.Address.IsValid() && !c.view.Set().Contains(r.self.ID) && random.IntN(2) == 0 && first != r.self.ID {
-		return option.Some(first)
-	}
-	if m, ok := r.control.view.Pick(now, random); ok {
-		return option.Some(m.ID)
+	candidate := first.Address.IsValid() && !c.view.Set().Contains(r.self.ID) && first != r.self.ID
+	var ids []fleet.MemberID
+	for range c.view.Pings(now) {
+		if candidate && random.IntN(2) == 0 {
+			ids = append(ids, first)
+			continue
+		}
+		if m, ok := c.view.Pick(now, random); ok {
+			ids = append(ids, m.ID)
+		}
 	}
-	return option.Option[fleet.MemberID]{}
+	return ids
 }
 
 // poll pings members until each has been asked once.
