Let a trainer go on while the weight store is down

A group waited for the weight store to show the versions that made it, and its samples were discarded when it did not: with the store down, or with engines whose first weights were never published, no batch was ever formed. The version that the trainer itself is at now counts as existing. The test fails without it (deadline exceeded).

--- a/internal/caller/rollout/driver.go
+++ b/internal/caller/rollout/driver.go
@@ -213,9 +213,11 @@
 	if err != nil {
 		return true
 	}
-	newest := fleet.WeightVersion(0)
+	// A version that the trainer is at exists, also while the weight store
+	// does not say so.
+	newest := h.Version
 	if w, err := d.parts.Weights.Newest(ctx, h.Pool); err == nil {
-		newest = w.Version
+		newest = max(newest, w.Version)
 	}
 	lag := d.parts.View.State().Config.Value(config.MaxVersionLag, d.trainer.Workspace)
 	_ = d.loop.Do(ctx, func(time.Time) {
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -24,6 +24,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/fake"
 	"github.com/lacewingtally/lacewingtally/internal/platform/object"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
 	"github.com/lacewingtally/lacewingtally/internal/platform/weights"
@@ -306,6 +307,19 @@
 	})
 }
 
+func TestTrainerGoesOnWithoutTheWeightStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.weights.Faults.Set(fake.Unavailable)
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+	})
+}
+
 func TestStoreOutageIsToldAtOnceAndLosesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
