--- a/internal/backend/exchange/exchange_test.go
+++ b/internal/backend/exchange/exchange_test.go
@@ -195,7 +195,10 @@
 	if errors.Is(err, exchange.ErrNotSent) {
 		must.SliceEmpty(t, tap.Bytes(), note)
 	}
-	must.EqOp(t, step == "Dial", errors.Is(err, exchange.ErrNotSent), note)
+	if kind != "Cancel" {
+		// A cancelled exchange may end before it is certain that nothing goes.
+		must.EqOp(t, step == "Dial", errors.Is(err, exchange.ErrNotSent), note)
+	}
 	_ = s.Close()
 	time.Sleep(time.Minute)
 }
