--- a/internal/daemon/endtoend/caller_test.go
+++ b/internal/daemon/endtoend/caller_test.go
@@ -35,7 +35,9 @@
 // generate receives an answer through daemon i. seen, if not nil, is called
 // after each chunk.
 func (c *cluster) generate(i int, key string, m *callerv1.GenerateRequest, seen func(text)) (text, error) {
-	return c.generateWith(c.t.Context(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, i, key, m, seen)
+	ctx, cancel := context.WithTimeout(c.t.Context(), 2*pollLimit)
+	defer cancel()
+	return c.generateWith(ctx, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, i, key, m, seen)
 }
 
 func (c *cluster) generateWith(ctx context.Context, h *http.Client, i int, key string, m *callerv1.GenerateRequest, seen func(text)) (text, error) {
@@ -73,7 +75,8 @@
 // plain sends one request to the plain service through daemon i, on a
 // connection of its own.
 func (c *cluster) plain(i int, key, path, id, body string) plainAnswer {
-	return c.plainWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, i, key, path, id, body)
+	h := &http.Client{Timeout: pollLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+	return c.plainWith(h, i, key, path, id, body)
 }
 
 func (c *cluster) plainWith(h *http.Client, i int, key, path, id, body string) plainAnswer {
