--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,12 +17,14 @@
 	"github.com/lacewingtally/lacewingtally/internal/api/callerv1"
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/caller/rollout"
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/fake"
 	"github.com/lacewingtally/lacewingtally/internal/platform/object"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
 	"github.com/lacewingtally/lacewingtally/internal/platform/weights"
@@ -34,30 +38,58 @@
 type generator struct {
 	mutex   sync.Mutex
 	version fleet.WeightVersion
-	// started counts the generations.
+	// burst is how many tokens come in one chunk; 0 is one.
+	burst int
+	// started counts the generations and tokens their tokens.
 	started int
+	tokens  int
+	// swapAt is the token of a sample at which the engines swap to version 2.
+	swapAt int
+	// nameless is how many chunks still come without a version.
+	nameless int
+	// cutAt is the token at which the first try of each sample breaks off.
+	cutAt int
 }
 
 func (g *generator) Generate(ctx context.Context, r gate.Generation, emit func(engine.Chunk) error) error {
 	g.mutex.Lock()
 	g.started++
 	g.mutex.Unlock()
-	for i := r.Offset; i < r.MaxTokens; i++ {
+	n := max(1, g.burst)
+	for i := r.Offset; i < r.MaxTokens; i += n {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(100 * time.Millisecond):
+		case <-time.After(time.Duration(n) * 100 * time.Millisecond):
 		}
 		g.mutex.Lock()
 		v := g.version
+		g.tokens += n
+		if g.swapAt > 0 && i >= g.swapAt {
+			v = 2
+		}
+		if g.nameless > 0 {
+			g.nameless--
+			v = 0
+		}
 		g.mutex.Unlock()
-		if err := emit(engine.Chunk{Offset: i, Text: "x", Tokens: 1, Version: v, End: i+1 == r.MaxTokens}); err != nil {
+		if g.cutAt > 0 && r.Offset == 0 && i == g.cutAt {
+			return refusal.MayHaveRun(refusal.ReasonServer, time.Now().Add(time.Second), nil)
+		}
+		if err := emit(engine.Chunk{Offset: i, Text: strings.Repeat("x", n), Tokens: n, Version: v, End: i+n == r.MaxTokens}); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// counts returns how many generations started and the tokens they made.
+func (g *generator) counts() (started, tokens int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.started, g.tokens
+}
+
 // source is a view that is always confirmed, with one key for each workspace.
 type source struct {
 	mutex sync.Mutex
@@ -95,26 +127,46 @@
 	view      source
 	generator generator
 	members   []fleet.Member
+	fault     atomic.Pointer[func(bool, []table.Key) table.Fault]
 }
 
 func newWorld(t *testing.T) *world {
 	w := &world{}
+	w.table.Fault = func(commit bool, keys []table.Key) table.Fault {
+		if f := w.fault.Load(); f != nil {
+			return (*f)(commit, keys)
+		}
+		return 0
+	}
 	must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 1}))
 	w.generator.version = 1
 	return w
 }
 
-func (w *world) daemon(t *testing.T, n int) daemon {
+// keyOfTests is the hash of the key that is granted.
+var keyOfTests = config.HashKey("k")
+
+// member adds a daemon to the view.
+func (w *world) member(n int) fleet.Member {
 	m := fleet.Member{ID: fleet.MemberID{
 		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)), Incarnation: fleet.Incarnation(fmt.Sprint(n)),
 	}}
 	w.members = append(w.members, m)
-	w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
-	p := rollout.Parts{
+	w.view.set(w.members, config.Key{Hash: keyOfTests, Workspace: "w"})
+	return m
+}
+
+func (w *world) daemon(t *testing.T, n int) daemon {
+	m := w.member(n)
+	ctx, cancel := context.WithCancel(t.Context())
+	return run(ctx, cancel, rollout.Parts{
 		Events: events{}, Generator: &w.generator, Self: m.ID, View: &w.view, Weights: &w.weights,
 		Ledger: batch.NewLedger(&w.table, &w.objects, m.ID.Incarnation),
-	}
-	ctx, cancel := context.WithCancel(t.Context())
+	})
+}
+
+// run runs a daemon until the context ends; stop ends it and waits.
+func run(ctx context.Context, cancel context.CancelFunc, p rollout.Parts) daemon {
 	done := make(chan struct{})
 	r := rollout.NewRunner(p)
 	go func() {
@@ -170,7 +222,8 @@
 		second, err := fetch(t, a, 2)
 		must.NoError(t, err)
 		must.Len(t, 6, second.GetSamples())
-		must.Eq(t, 12, w.generator.started)
+		started, _ := w.generator.counts()
+		must.Eq(t, 12, started)
 	})
 }
 
@@ -197,15 +250,96 @@
 		must.NoError(t, submit(t, a, "k", 4))
 		time.Sleep(2 * time.Second)
 		w.view.set(w.members)
-		time.Sleep(time.Second)
-		started := w.generator.started
+		time.Sleep(300 * time.Millisecond)
+		started, tokens := w.generator.counts()
+		must.Less(t, 12*20, tokens)
 		_, err := fetch(t, a, 1)
 		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(err))
 		time.Sleep(time.Minute)
-		must.Eq(t, started, w.generator.started)
+		startedLater, tokensLater := w.generator.counts()
+		must.Eq(t, started, startedLater)
+		must.Eq(t, tokens, tokensLater)
 		w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
 		got, err := fetch(t, a, 1)
 		must.NoError(t, err)
 		must.Len(t, 6, got.GetSamples())
 	})
 }
+
+func TestSwapInMidGenerationIsNamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.generator.swapAt, w.generator.cutAt = 12, 5
+		must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 2}))
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		for _, s := range got.GetSamples() {
+			must.Len(t, 2, s.GetSegments())
+			must.Eq(t, uint64(1), s.GetSegments()[0].GetWeightVersion())
+			must.Eq(t, uint32(12), s.GetSegments()[0].GetTokens())
+			must.Eq(t, uint64(2), s.GetSegments()[1].GetWeightVersion())
+			must.Eq(t, uint32(8), s.GetSegments()[1].GetTokens())
+		}
+	})
+}
+
+func TestNamelessAndUnpublishedVersionsAreNotDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.generator.nameless = 4
+		// The engines serve a version that the store does not have.
+		w.generator.version = 2
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		_, err := fetch(t, a, 1)
+		must.Eq(t, connect.CodeDeadlineExceeded, connect.CodeOf(err))
+		must.NoError(t, w.weights.Publish(t.Context(), weights.Weights{Pool: "p", Version: 2}))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+		for _, s := range got.GetSamples() {
+			must.Eq(t, 20, len(s.GetText()))
+		}
+	})
+}
+
+func TestTrainerGoesOnWithoutTheWeightStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.weights.Faults.Set(fake.Unavailable)
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+	})
+}
+
+func TestStoreOutageIsToldAtOnceAndLosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.daemon(t, 1)
+		defer a.stop()
+		must.NoError(t, submit(t, a, "k", 2))
+		time.Sleep(1500 * time.Millisecond)
+		down := func(bool, []table.Key) table.Fault { return table.FaultUnavailable }
+		w.fault.Store(&down)
+		began := time.Now()
+		_, err := fetch(t, a, 1)
+		must.Eq(t, connect.CodeUnavailable, connect.CodeOf(err))
+		must.Eq(t, 0, time.Since(began))
+		time.Sleep(time.Minute)
+		w.fault.Store(nil)
+		got, err := fetch(t, a, 1)
+		must.NoError(t, err)
+		must.Len(t, 6, got.GetSamples())
+		// What was generated before and during the outage is not made again.
+		started, _ := w.generator.counts()
+		must.Eq(t, 6, started)
+	})
+}
