Let restarted daemons add themselves when no registered one answers

Daemons that boot wait for a member that answers to add them; the other newcomers, which answer too, were taken for members, so all waited for each other but for one look in ten. Only registered members count now.

--- a/internal/peer/member/register.go
+++ b/internal/peer/member/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -107,7 +108,7 @@
 		if !s.Contains(r.self.ID) {
 			// Members that answer add their candidates together, so that many
 			// daemons that boot at once do not race each other.
-			answered := len(c.view.Contacts(now, liveWindow)) > 0
+			answered := slices.ContainsFunc(c.view.Contacts(now, liveWindow), s.Contains)
 			return !answered || rand.IntN(unaidedOneIn) == 0
 		}
 		x := r.wanted(now, s)
