Take members whose VM the platform has dropped for gone

Ruled out: taking every VM that a list lacks for gone (a lagging list lacks new VMs, which run). After: only a VM that a list has shown and the newest lacks.

--- a/internal/daemon/daemon/parts.go
+++ b/internal/daemon/daemon/parts.go
@@ -99,6 +99,7 @@
 	p.addTimeline()
 	p.client = wire.NewClient(self.ID.Address, wire.DialTLS(identity), p.counters)
 	p.addPlatform()
+	p.tracker = &serverTracker{parts: p}
 	p.addView()
 	p.addTraffic()
 	p.addDuties()
@@ -142,7 +143,6 @@
 	p.dispatcher = grant.NewDispatcher(p.self, p.member, p.servers)
 	p.dispatcher.Handle(p.mux)
 	p.gate = grant.NewClient(p.self, p.client, p.member, p.servers, p.dispatcher, grant.WithRecorder(p.recorder))
-	p.tracker = &serverTracker{parts: p}
 	p.claims = claim.NewStore(p.table)
 	p.suspects = suspect.New(suspect.Options{
 		Caller:   p.client,
@@ -182,6 +182,7 @@
 		member.WithSeeds(p.settings.Seeds),
 		member.WithLog(p.log),
 		member.WithRecorder(p.recorder),
+		member.WithGone(p.tracker.gone),
 	)
 	p.member.Register(p.mux)
 }
--- a/internal/daemon/daemon/servers.go
+++ b/internal/daemon/daemon/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/control/server"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+	"github.com/lacewingtally/lacewingtally/internal/platform/vmlist"
 )
 
 const (
@@ -38,6 +40,9 @@
 	mutex sync.Mutex
 	// status holds the newest report of each engine that this daemon asks.
 	status map[fleet.ServerID]engine.Status
+	// daemons holds the VMs of daemons that a list has shown; true says that
+	// the newest list shows it.
+	daemons map[netip.AddrPort]bool
 }
 
 // Serve polls until the context ends.
@@ -71,6 +76,15 @@
 	return servers
 }
 
+// gone reports whether the platform has deleted a member's VM: a list has shown
+// it, and the newest one does not. A VM that no list has shown yet is not gone.
+func (t *serverTracker) gone(m fleet.Member) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	listed, seen := t.daemons[m.ID.Address]
+	return seen && !listed
+}
+
 // list reads the VM list once.
 func (t *serverTracker) list(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -80,6 +94,7 @@
 		t.parts.log.Debug("VM list not read", zap.Error(err))
 		return
 	}
+	t.listed(l.Daemons)
 	now := time.Now()
 	s := t.parts.member.State()
 	t.record(t.parts.servers.Drain(drained(s.Config)))
@@ -89,6 +104,21 @@
 	}
 }
 
+// listed takes the daemons that the newest list shows.
+func (t *serverTracker) listed(daemons []vmlist.Daemon) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.daemons == nil {
+		t.daemons = make(map[netip.AddrPort]bool)
+	}
+	for a := range t.daemons {
+		t.daemons[a] = false
+	}
+	for _, d := range daemons {
+		t.daemons[d.Address] = true
+	}
+}
+
 // loads asks the engines of the cells that this daemon dispatches for.
 func (t *serverTracker) loads(ctx context.Context) {
 	hosted, err := t.parts.dispatcher.Hosted(ctx)
