--- a/internal/backend/engine/http_test.go
+++ b/internal/backend/engine/http_test.go
@@ -13,16 +13,17 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
 	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
 	"github.com/lacewingtally/lacewingtally/internal/standin/link"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 var at = netip.MustParseAddrPort("127.0.0.1:80")
--- a/internal/backend/exchange/exchange_test.go
+++ b/internal/backend/exchange/exchange_test.go
@@ -16,14 +16,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
 	"github.com/lacewingtally/lacewingtally/internal/standin/link"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // requests are those that the HTTP library takes for repeatable, and one that
--- a/internal/base/loop/loop_test.go
+++ b/internal/base/loop/loop_test.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/loop"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func TestDoRunsOneAtATimeAndEndsWithServe(t *testing.T) {
--- a/internal/caller/operator/operator_test.go
+++ b/internal/caller/operator/operator_test.go
@@ -11,19 +11,20 @@
 
 	"connectrpc.com/connect"
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/api/operatorv1"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 const key = "operators-key"
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // fakes are the parts of a handler other than the store.
--- a/internal/control/attempt/run_test.go
+++ b/internal/control/attempt/run_test.go
@@ -1,17 +1,16 @@
 package attempt_test
 
 import (
-	"os"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/attempt"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 var now = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -131,14 +130,12 @@
 }
 
 func TestTraces(t *testing.T) {
-	b, err := os.ReadFile("testdata/run.yaml")
-	must.NoError(t, err)
-	var traces []trace
-	must.NoError(t, yaml.Unmarshal(b, &traces))
-	must.SliceNotEmpty(t, traces)
-	for _, x := range traces {
-		t.Run(x.Name, func(t *testing.T) { replay(t, x) })
-	}
+	recorded.Each(t, func(t *testing.T, traces []trace) {
+		must.SliceNotEmpty(t, traces)
+		for _, x := range traces {
+			t.Run(x.Name, func(t *testing.T) { replay(t, x) })
+		}
+	})
 }
 
 func replay(t *testing.T, x trace) {
--- a/internal/control/batch/dispatch_test.go
+++ b/internal/control/batch/dispatch_test.go
@@ -3,20 +3,18 @@
 import (
 	"fmt"
 	"maps"
-	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/control/batch"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // trace is a recorded run of a dispatcher and what must come of it.
@@ -95,30 +93,21 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			b, err := os.ReadFile(f)
-			must.NoError(t, err)
-			var r trace
-			must.NoError(t, yaml.Unmarshal(b, &r))
-			d := &batch.Dispatcher{Policy: batch.Policy{InFlight: r.InFlight}}
-			d.Grant(set.New("k"))
-			for _, g := range r.Groups {
-				d.Add(batch.Pending{Group: g.ID, Key: "k"}, batch.Group{ID: g.ID, Pool: "p", Samples: g.Samples, MaxTokens: g.MaxTokens})
-			}
-			began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-			var got []string
-			for _, e := range r.Events {
-				now := began.Add(e.At)
-				e.apply(now, d)
-				got = append(got, lines(e.At, d.Decide(now))...)
-			}
-			must.Eq(t, r.Outcome, got)
-		})
-	}
+	recorded.Each(t, func(t *testing.T, r trace) {
+		d := &batch.Dispatcher{Policy: batch.Policy{InFlight: r.InFlight}}
+		d.Grant(set.New("k"))
+		for _, g := range r.Groups {
+			d.Add(batch.Pending{Group: g.ID, Key: "k"}, batch.Group{ID: g.ID, Pool: "p", Samples: g.Samples, MaxTokens: g.MaxTokens})
+		}
+		began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		var got []string
+		for _, e := range r.Events {
+			now := began.Add(e.At)
+			e.apply(now, d)
+			got = append(got, lines(e.At, d.Decide(now))...)
+		}
+		must.Eq(t, r.Outcome, got)
+	})
 }
 
 // TestDispatcherKeepsItsRules drives a dispatcher with random chunks, ends,
--- a/internal/control/cell/main_test.go
+++ b/internal/control/cell/main_test.go
@@ -1,25 +1,20 @@
 package cell
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
-	"go.uber.org/goleak"
-
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/base/seed"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", fmt.Sprint(seed.Value()))
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func at(seconds float64) time.Time {
--- a/internal/control/claim/claim_test.go
+++ b/internal/control/claim/claim_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -12,13 +10,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/claim"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // now is the instant at which decisions are asked in tests without time.
@@ -203,18 +201,12 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, file := range files {
-		b, err := os.ReadFile(file)
-		must.NoError(t, err)
-		var traces []trace
-		must.NoError(t, yaml.Unmarshal(b, &traces))
+	recorded.Each(t, func(t *testing.T, traces []trace) {
+		must.SliceNotEmpty(t, traces)
 		for _, x := range traces {
 			t.Run(x.Name, func(t *testing.T) { replay(t, x) })
 		}
-	}
+	})
 }
 
 func replay(t *testing.T, x trace) {
--- a/internal/control/config/config_test.go
+++ b/internal/control/config/config_test.go
@@ -7,14 +7,15 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func valid() config.Config {
--- a/internal/control/fence/main_test.go
+++ b/internal/control/fence/main_test.go
@@ -3,9 +3,9 @@
 import (
 	"testing"
 
-	"go.uber.org/goleak"
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
--- a/internal/control/lease/lease_test.go
+++ b/internal/control/lease/lease_test.go
@@ -1,27 +1,19 @@
 package lease_test
 
 import (
-	"flag"
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/base/seed"
 	"github.com/lacewingtally/lacewingtally/internal/control/lease"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": fmt.Sprint(seed.Value()), "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func id(name string) fleet.MemberID {
--- a/internal/control/lease/trace_test.go
+++ b/internal/control/lease/trace_test.go
@@ -1,17 +1,14 @@
 package lease_test
 
 import (
-	"bytes"
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/lease"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // trace is recorded events of one lease with the outcomes stated for them.
@@ -96,29 +93,18 @@
 // TestTraces replays the traces under testdata and requires the outcome stated
 // for each step.
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			b, err := os.ReadFile(f)
-			must.NoError(t, err)
-			var x trace
-			y := yaml.NewDecoder(bytes.NewReader(b))
-			y.KnownFields(true)
-			must.NoError(t, y.Decode(&x))
-			m := &leaseModel{start: time.Unix(1_000_000, 0)}
-			daemons := make(map[string]*challenger)
-			for _, name := range []string{"a", "b"} {
-				daemons[name] = &challenger{lease: lease.Lease{Self: id(name)}, rate: 1}
-				m.daemons = append(m.daemons, daemons[name])
-			}
-			r := replay{leaseModel: m, t: t}
-			for i, s := range x.Steps {
-				m.elapsed = s.At
-				must.Eq(t, s.Want, r.do(daemons[s.Daemon], s), must.Sprintf("step %d: %+v", i, s))
-				m.check(t)
-			}
-		})
-	}
+	recorded.Each(t, func(t *testing.T, x trace) {
+		m := &leaseModel{start: time.Unix(1_000_000, 0)}
+		daemons := make(map[string]*challenger)
+		for _, name := range []string{"a", "b"} {
+			daemons[name] = &challenger{lease: lease.Lease{Self: id(name)}, rate: 1}
+			m.daemons = append(m.daemons, daemons[name])
+		}
+		r := replay{leaseModel: m, t: t}
+		for i, s := range x.Steps {
+			m.elapsed = s.At
+			must.Eq(t, s.Want, r.do(daemons[s.Daemon], s), must.Sprintf("step %d: %+v", i, s))
+			m.check(t)
+		}
+	})
 }
--- a/internal/control/limit/limit_test.go
+++ b/internal/control/limit/limit_test.go
@@ -1,17 +1,16 @@
 package limit
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/base/seed"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 var (
@@ -20,10 +19,7 @@
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", fmt.Sprint(seed.Value()))
-	_ = flag.Set("rapid.nofailfile", "true")
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func member(i int) fleet.MemberID {
--- a/internal/control/member/set_test.go
+++ b/internal/control/member/set_test.go
@@ -5,14 +5,15 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/member"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func daemon(n int) fleet.Member {
--- a/internal/control/quarantine/quarantine_test.go
+++ b/internal/control/quarantine/quarantine_test.go
@@ -3,17 +3,15 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 var (
@@ -194,18 +192,12 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, file := range files {
-		b, err := os.ReadFile(file)
-		must.NoError(t, err)
-		var traces []trace
-		must.NoError(t, yaml.Unmarshal(b, &traces))
+	recorded.Each(t, func(t *testing.T, traces []trace) {
+		must.SliceNotEmpty(t, traces)
 		for _, x := range traces {
 			t.Run(x.Name, func(t *testing.T) { replay(t, x) })
 		}
-	}
+	})
 }
 
 func replay(t *testing.T, x trace) {
--- a/internal/control/retry/budget_test.go
+++ b/internal/control/retry/budget_test.go
@@ -5,11 +5,12 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func TestStormStaysWithinTheBudget(t *testing.T) {
--- a/internal/control/scale/book_test.go
+++ b/internal/control/scale/book_test.go
@@ -2,17 +2,15 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/scale"
 	"github.com/lacewingtally/lacewingtally/internal/platform/order"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // trace is what a holder of the duty found and heard, and what it must do.
@@ -90,16 +88,7 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			b, err := os.ReadFile(f)
-			must.NoError(t, err)
-			var c trace
-			must.NoError(t, yaml.Unmarshal(b, &c))
-			must.Eq(t, c.Outcome, c.replay())
-		})
-	}
+	recorded.Each(t, func(t *testing.T, c trace) {
+		must.Eq(t, c.Outcome, c.replay())
+	})
 }
--- a/internal/control/view/trace_test.go
+++ b/internal/control/view/trace_test.go
@@ -1,17 +1,14 @@
 package view_test
 
 import (
-	"bytes"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/clock"
 	"github.com/lacewingtally/lacewingtally/internal/control/member"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // trace is recorded events with the outcomes that were stated for them.
@@ -141,25 +138,14 @@
 // TestTraces replays the traces under testdata and requires the outcome stated
 // for each step.
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			b, err := os.ReadFile(f)
-			must.NoError(t, err)
-			var x trace
-			d := yaml.NewDecoder(bytes.NewReader(b))
-			d.KnownFields(true)
-			must.NoError(t, d.Decode(&x))
-			r := replay{model: newModel(x.Daemons...), t: t}
-			start := r.now
-			for i, s := range x.Steps {
-				r.now = start.Add(s.At)
-				got := r.do(s)
-				must.Eq(t, s.Want, got, must.Sprintf("step %d: %+v", i, s))
-				r.check(t)
-			}
-		})
-	}
+	recorded.Each(t, func(t *testing.T, x trace) {
+		r := replay{model: newModel(x.Daemons...), t: t}
+		start := r.now
+		for i, s := range x.Steps {
+			r.now = start.Add(s.At)
+			got := r.do(s)
+			must.Eq(t, s.Want, got, must.Sprintf("step %d: %+v", i, s))
+			r.check(t)
+		}
+	})
 }
--- a/internal/control/view/view_test.go
+++ b/internal/control/view/view_test.go
@@ -1,28 +1,20 @@
 package view_test
 
 import (
-	"flag"
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/base/seed"
 	"github.com/lacewingtally/lacewingtally/internal/control/member"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": fmt.Sprint(seed.Value()), "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func daemon(name string) fleet.Member {
--- a/internal/control/weight/trace_test.go
+++ b/internal/control/weight/trace_test.go
@@ -2,18 +2,16 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.yaml.in/yaml/v3"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/weight"
 	"github.com/lacewingtally/lacewingtally/internal/platform/weights"
+	"github.com/lacewingtally/lacewingtally/internal/standin/recorded"
 )
 
 // trace is a recorded roll-out and what must come of it.
@@ -39,30 +37,21 @@
 }
 
 func TestTraces(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.yaml")
-	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			b, err := os.ReadFile(f)
-			must.NoError(t, err)
-			var c trace
-			must.NoError(t, yaml.Unmarshal(b, &c))
-			began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-			all := servers(c.Servers)
-			r := &weight.Rollout{Policy: weight.Policy{Share: 0.5, Tries: 2}}
-			known(r, began, all, 1)
-			var got []string
-			for _, e := range c.Events {
-				now := began.Add(e.At)
-				all = e.apply(now, r, all)
-				for _, l := range r.Decide(now) {
-					got = append(got, fmt.Sprintf("%s %s to %d", e.At, l.Server.ID, l.Weights.Version))
-				}
+	recorded.Each(t, func(t *testing.T, c trace) {
+		began := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		all := servers(c.Servers)
+		r := &weight.Rollout{Policy: weight.Policy{Share: 0.5, Tries: 2}}
+		known(r, began, all, 1)
+		var got []string
+		for _, e := range c.Events {
+			now := began.Add(e.At)
+			all = e.apply(now, r, all)
+			for _, l := range r.Decide(now) {
+				got = append(got, fmt.Sprintf("%s %s to %d", e.At, l.Server.ID, l.Weights.Version))
 			}
-			must.Eq(t, c.Outcome, got)
-		})
-	}
+		}
+		must.Eq(t, c.Outcome, got)
+	})
 }
 
 func (e event) apply(now time.Time, r *weight.Rollout, all []fleet.Server) []fleet.Server {
--- a/internal/daemon/settings/settings_test.go
+++ b/internal/daemon/settings/settings_test.go
@@ -9,7 +9,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 const whole = `Region: cz-stred
@@ -43,7 +44,7 @@
 `
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func content(t *testing.T, old, replacement string) []byte {
--- a/internal/daemon/telemetry/telemetry_test.go
+++ b/internal/daemon/telemetry/telemetry_test.go
@@ -16,16 +16,17 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func get(t *testing.T, h http.Handler, path string) (int, string) {
--- a/internal/daemon/timeline/timeline_test.go
+++ b/internal/daemon/timeline/timeline_test.go
@@ -15,15 +15,16 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func kindsOf(events []Event) []Kind {
--- a/internal/model/experiment/experiment_test.go
+++ b/internal/model/experiment/experiment_test.go
@@ -5,14 +5,15 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/seed"
 	"github.com/lacewingtally/lacewingtally/internal/model/trace"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func TestSameTraceSameResult(t *testing.T) {
--- a/internal/model/machine/engine_test.go
+++ b/internal/model/machine/engine_test.go
@@ -5,15 +5,16 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // end runs an engine until it is idle and returns when that was.
--- a/internal/model/report/report_test.go
+++ b/internal/model/report/report_test.go
@@ -7,14 +7,15 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/model/experiment"
 	"github.com/lacewingtally/lacewingtally/internal/model/trace"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func page() *Page {
--- a/internal/model/trace/trace_test.go
+++ b/internal/model/trace/trace_test.go
@@ -5,13 +5,14 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func TestSameSeedSameTrace(t *testing.T) {
--- a/internal/peer/grant/world_test.go
+++ b/internal/peer/grant/world_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
@@ -19,6 +18,8 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/server"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 const (
@@ -27,7 +28,7 @@
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // source is a view that tests set.
--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -3,26 +3,22 @@
 import (
 	"context"
 	"net/netip"
-	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/peer/member"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	// On several processors the race detector of go1.26.8 aborts now and then
-	// with an internal check of its own (tsan_rtl.cpp:346) while the bubbles
-	// of synctest run. No test depends on the number.
-	runtime.GOMAXPROCS(1)
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func keyed(names ...string) config.Config {
--- a/internal/peer/mtls/identity_test.go
+++ b/internal/peer/mtls/identity_test.go
@@ -10,13 +10,14 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/peer/mtls"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 var (
--- a/internal/peer/suspect/suspect_test.go
+++ b/internal/peer/suspect/suspect_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/loop"
@@ -17,10 +16,12 @@
 	"github.com/lacewingtally/lacewingtally/internal/peer/suspect"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // state is a view.Source that never changes.
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -15,10 +15,11 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
-	"go.uber.org/goleak"
 	"pgregory.net/rapid"
 
 	"github.com/lacewingtally/lacewingtally/internal/peer/mtls"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 var (
@@ -27,7 +28,7 @@
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 // pipes is a listener whose connections are in-process pipes, and their
--- a/internal/platform/table/http_test.go
+++ b/internal/platform/table/http_test.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/platform/table"
 	standin "github.com/lacewingtally/lacewingtally/internal/standin/table"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func txn(id string, version uint64) table.Txn {
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -7,14 +7,15 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"go.uber.org/goleak"
 
 	"github.com/lacewingtally/lacewingtally/internal/standin/engine"
 	"github.com/lacewingtally/lacewingtally/internal/standin/load"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
 )
 
 func TestMain(m *testing.M) {
-	goleak.VerifyTestMain(m)
+	suite.Main(m)
 }
 
 func TestRunCountsWholeAndRefusedAnswers(t *testing.T) {
