Order events of the time line over messages; bound weight swaps by the store's rate

Cause: only the gathering of events carried the logical time, so an event that a message caused could sort before its cause when wall clocks differ; and the rate of the weight store could not be set. Ruled out: a process setting for the rate (a knob of single machines). After: each frame carries the sender's logical time (8 bytes); the fleet-wide default SwapsPerSecond is shared by the regions and refused as an exception. Tests: TestFramesCarryTheLogicalTime, TestDutyTakesItsPartOfTheRate, a case of TestValidate.

--- a/internal/control/config/config.go
+++ b/internal/control/config/config.go
@@ -25,6 +25,10 @@
 	RequestsPerSecond Setting = "RequestsPerSecond"
 	// RetryShare is the number of retries allowed per first attempt.
 	RetryShare Setting = "RetryShare"
+	// SwapsPerSecond is how many weight swaps may begin a second over the
+	// whole fleet, by the weight store's rate; 0 is without limit. It has no
+	// exceptions.
+	SwapsPerSecond Setting = "SwapsPerSecond"
 	// TokensPerSecond limits a workspace over the whole fleet.
 	TokensPerSecond Setting = "TokensPerSecond"
 	// Weight is the workspace's weight in fair sharing.
--- a/internal/control/config/config_test.go
+++ b/internal/control/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,7 @@
 		"Defaults.RetryShare":     func(c *config.Config) { c.Defaults[config.RetryShare] = math.NaN() },
 		"Exceptions[0].Workspace": func(c *config.Config) { c.Exceptions[0].Workspace = "y" },
 		"Exceptions[0].Setting":   func(c *config.Config) { c.Exceptions[0].Value = -1 },
+		"Exceptions[0].Setting:":  func(c *config.Config) { c.Exceptions[0].Setting = config.SwapsPerSecond },
 		"Exceptions[0].Reason":    func(c *config.Config) { c.Exceptions[0].Reason = " " },
 		"Exceptions[1]":           func(c *config.Config) { c.Exceptions = append(c.Exceptions, c.Exceptions[0]) },
 		"Pools[0].Protocol":       func(c *config.Config) { c.Pools[0].Protocol = "Other" },
@@ -61,7 +63,7 @@
 		change(&c)
 		err := c.Validate()
 		must.ErrorIs(t, err, config.ErrInvalid)
-		must.StrContains(t, err.Error(), place+":")
+		must.StrContains(t, err.Error(), strings.TrimSuffix(place, ":")+":")
 	}
 }
 
--- a/internal/control/config/snapshot.go
+++ b/internal/control/config/snapshot.go
@@ -16,6 +16,7 @@
 	MaxWaiting:        512,
 	RequestsPerSecond: 1000,
 	RetryShare:        0.1,
+	SwapsPerSecond:    0,
 	TokensPerSecond:   1_000_000,
 	Weight:            1,
 }
--- a/internal/control/config/validate.go
+++ b/internal/control/config/validate.go
@@ -118,6 +118,7 @@
 		p := fmt.Sprintf("Exceptions[%d]", i)
 		v.require(v.known.Contains(e.Workspace), p+".Workspace", "unknown workspace")
 		v.value(p+".Setting", e.Setting, e.Value)
+		v.require(e.Setting != SwapsPerSecond, p+".Setting", "is for the whole fleet")
 		v.require(seen.Add(exceptionKey{workspace: e.Workspace, setting: e.Setting}), p, "given twice")
 		v.reason(p, e.Reason)
 	}
--- a/internal/control/weight/duty.go
+++ b/internal/control/weight/duty.go
@@ -153,6 +153,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.rollout.Policy.Rate = s.Config.Value(config.SwapsPerSecond, "") / float64(max(1, d.rollout.Policy.Regions))
 	d.rollout.See(servers)
 	return nil
 }
--- a/internal/control/weight/duty_test.go
+++ b/internal/control/weight/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -73,7 +74,7 @@
 	return 7, now.Add(6 * time.Second), c.err
 }
 
-func newDuty(t *testing.T, n int) (*weight.Duty, map[fleet.ServerID]*fakeEngine, *weights.Memory) {
+func newDuty(t *testing.T, n int, rate float64) (*weight.Duty, map[fleet.ServerID]*fakeEngine, *weights.Memory) {
 	all := servers(n)
 	engines := make(map[fleet.ServerID]*fakeEngine)
 	for i := range all {
@@ -83,15 +84,16 @@
 	w := &weights.Memory{}
 	must.NoError(t, w.Publish(t.Context(), weights.Weights{Pool: "p", Version: 2}))
 	v := source{state: &view.State{Servers: all, Config: config.NewSnapshot(config.Config{
-		Pools: []config.Pool{{Name: "p", Protocol: config.ProtocolEngine}},
+		Defaults: map[config.Setting]float64{config.SwapsPerSecond: rate},
+		Pools:    []config.Pool{{Name: "p", Protocol: config.ProtocolEngine}},
 	})}}
 	dial := func(s fleet.Server) engine.Engine { return engines[s.ID] }
-	return weight.NewDuty(weight.Policy{Tries: 2}, dial, w, v, "r", events{}), engines, w
+	return weight.NewDuty(weight.Policy{Tries: 2, Regions: 2}, dial, w, v, "r", events{}), engines, w
 }
 
 func TestDutyRollsOutAndLeavesFailingServersAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, engines, w := newDuty(t, 9)
+		d, engines, w := newDuty(t, 9, 0)
 		engines["s004"].failing = true
 		c := &charge{}
 		for range 20 {
@@ -116,10 +118,31 @@
 
 func TestDutyWithoutChargeOrdersNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, engines, _ := newDuty(t, 3)
+		d, engines, _ := newDuty(t, 3, 0)
 		must.ErrorIs(t, d.Step(t.Context(), &charge{err: lease.ErrNotHeld}), lease.ErrNotHeld)
 		for _, e := range engines {
 			must.SliceEmpty(t, e.orders)
 		}
 	})
 }
+
+// TestDutyTakesItsPartOfTheRate requires that one of two regions begins swaps at
+// half of the rate for the whole fleet.
+func TestDutyTakesItsPartOfTheRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, engines, _ := newDuty(t, 9, 1)
+		for range 30 {
+			must.NoError(t, d.Step(t.Context(), &charge{}))
+			time.Sleep(time.Second)
+		}
+		var ends []time.Time
+		for _, e := range engines {
+			must.Len(t, 1, e.orders)
+			ends = append(ends, e.swapped)
+		}
+		slices.SortFunc(ends, time.Time.Compare)
+		for i := range len(ends) - 1 {
+			must.GreaterEq(t, 2*time.Second, ends[i+1].Sub(ends[i]))
+		}
+	})
+}
--- a/internal/control/weight/rollout.go
+++ b/internal/control/weight/rollout.go
@@ -35,6 +35,9 @@
 	// Share is the share of a pool's servers that may swap at once; one may
 	// always.
 	Share float64
+	// Regions is how many regions share the rate of the weight store; 0 counts
+	// as 1.
+	Regions int
 	// Rate is how many swaps may begin a second, by the weight store's limit
 	// and this region's part of it; 0 is without limit.
 	Rate float64
--- a/internal/daemon/daemon/listen.go
+++ b/internal/daemon/daemon/listen.go
@@ -59,11 +59,12 @@
 		open = append(open, l)
 		return l
 	}
+	server := wire.NewServer(p.mux, wire.VerifyTLS, p.counters, wire.WithClock(p.timeline))
 	l := &listeners{
 		callers:   newHTTPService(on(s.Listen.Callers), callersHandler(p)),
 		operators: newHTTPService(on(s.Listen.Operators), operatorsHandler(p)),
 		metrics:   newHTTPService(on(s.Listen.Metrics), telemetry.NewHandler(p.metrics, p.readiness)),
-		peers:     &peerService{listener: on(s.Listen.Peers), server: wire.NewServer(p.mux, wire.VerifyTLS, p.counters)},
+		peers:     &peerService{listener: on(s.Listen.Peers), server: server},
 	}
 	if failed != nil {
 		for _, o := range open {
--- a/internal/daemon/daemon/parts.go
+++ b/internal/daemon/daemon/parts.go
@@ -97,7 +97,7 @@
 		servers:   server.NewRegistry(),
 	}
 	p.addTimeline()
-	p.client = wire.NewClient(self.ID.Address, wire.DialTLS(identity), p.counters)
+	p.client = wire.NewClient(self.ID.Address, wire.DialTLS(identity), p.counters, wire.WithClock(p.timeline))
 	p.addPlatform()
 	p.tracker = &serverTracker{parts: p}
 	p.addView()
@@ -113,7 +113,7 @@
 	reports := usage.NewHTTP(p.settings.Platform.Usage)
 	dial := func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, nil) }
 	p.addKeeper(window.NewDuty(p.table, reports, region, p.self.ID.Incarnation, p.recorder))
-	p.addKeeper(weight.NewDuty(weight.Policy{}, dial, p.weights, p.member, region, p.recorder))
+	p.addKeeper(weight.NewDuty(weight.Policy{Regions: len(p.settings.Regions)}, dial, p.weights, p.member, region, p.recorder))
 	p.addKeeper(scale.NewDuty(p.table, orders, p.member, region, p.domains(), p.tracker.demand, p.recorder))
 }
 
--- a/internal/peer/wire/client.go
+++ b/internal/peer/wire/client.go
@@ -20,6 +20,7 @@
 	self  netip.AddrPort
 	dial  Dialer
 	count *Counters
+	clock Clock
 
 	mutex    sync.Mutex
 	sessions map[netip.AddrPort]*session
@@ -63,8 +64,14 @@
 }
 
 // NewClient returns a client for the daemon whose peers call it at self.
-func NewClient(self netip.AddrPort, dial Dialer, count *Counters) *Client {
-	return &Client{self: self, dial: dial, count: count, sessions: make(map[netip.AddrPort]*session)}
+func NewClient(self netip.AddrPort, dial Dialer, count *Counters, options ...Option) *Client {
+	return &Client{
+		self:     self,
+		dial:     dial,
+		count:    count,
+		clock:    newOptions(options).clock,
+		sessions: make(map[netip.AddrPort]*session),
+	}
 }
 
 // Call implements Caller.
@@ -125,7 +132,7 @@
 		close(s.ready)
 		return
 	}
-	s.link = newLink(conn, c.count)
+	s.link = newLink(conn, c.count, c.clock)
 	s.link.open = s.open
 	body, err := msgpack.Marshal(hello{Address: c.self})
 	if err == nil {
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -14,8 +14,8 @@
 	// version is the protocol version; both ends must have the same.
 	version = 1
 	// headerSize is the size of a frame's header, in bytes: body length (4),
-	// version (1), type (1), kind (1), call ID (8).
-	headerSize = 15
+	// version (1), type (1), kind (1), call ID (8), logical time (8).
+	headerSize = 23
 )
 
 // Types of frame. The numbers are part of the protocol.
@@ -36,8 +36,10 @@
 	kind frameType
 	call Kind
 	// id is chosen by the calling end and unique on its connection.
-	id   uint64
-	body []byte
+	id uint64
+	// logical is the sender's logical time when the frame was written.
+	logical uint64
+	body    []byte
 }
 
 type frameType uint8
@@ -47,6 +49,7 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(len(f.body)))
 	b = append(b, version, byte(f.kind), byte(f.call))
 	b = binary.BigEndian.AppendUint64(b, f.id)
+	b = binary.BigEndian.AppendUint64(b, f.logical)
 	return append(b, f.body...)
 }
 
@@ -63,7 +66,12 @@
 	if h[4] != version {
 		return frame{}, errors.Wrapf(ErrFrame, "version %d", h[4])
 	}
-	f := frame{kind: frameType(h[5]), call: Kind(h[6]), id: binary.BigEndian.Uint64(h[7:])}
+	f := frame{
+		kind:    frameType(h[5]),
+		call:    Kind(h[6]),
+		id:      binary.BigEndian.Uint64(h[7:]),
+		logical: binary.BigEndian.Uint64(h[15:]),
+	}
 	if f.kind < frameHello || f.kind > framePong {
 		return frame{}, errors.Wrapf(ErrFrame, "type %d", f.kind)
 	}
--- a/internal/peer/wire/link.go
+++ b/internal/peer/wire/link.go
@@ -39,6 +39,7 @@
 	closed chan struct{}
 	once   sync.Once
 	count  *Counters
+	clock  Clock
 }
 
 type queued struct {
@@ -47,12 +48,13 @@
 	sending func()
 }
 
-func newLink(c net.Conn, count *Counters) *frameLink {
+func newLink(c net.Conn, count *Counters, clock Clock) *frameLink {
 	return &frameLink{
 		conn:   c,
 		queue:  make(chan queued, queueLength),
 		closed: make(chan struct{}),
 		count:  count,
+		clock:  clock,
 	}
 }
 
@@ -79,6 +81,7 @@
 			return err
 		}
 		l.count.BytesRead.Add(int64(headerSize + len(f.body)))
+		l.clock.Observe(f.logical)
 		switch f.kind {
 		case framePing:
 			err = l.send(frame{kind: framePong}, nil)
@@ -137,7 +140,7 @@
 				return
 			}
 			if !wrote {
-				b = appendFrame(b, frame{kind: framePing})
+				b = l.stamp(b, frame{kind: framePing})
 			}
 			wrote = false
 		}
@@ -172,7 +175,7 @@
 		if q.sending != nil {
 			q.sending()
 		}
-		b = appendFrame(b, q.frame)
+		b = l.stamp(b, q.frame)
 		select {
 		case q = <-l.queue:
 		default:
@@ -182,7 +185,13 @@
 			if q.sending != nil {
 				q.sending()
 			}
-			return appendFrame(b, q.frame)
+			return l.stamp(b, q.frame)
 		}
 	}
 }
+
+// stamp appends a frame with the time of its writing.
+func (l *frameLink) stamp(b []byte, f frame) []byte {
+	f.logical = l.clock.Logical()
+	return appendFrame(b, f)
+}
--- a/internal/peer/wire/server.go
+++ b/internal/peer/wire/server.go
@@ -18,6 +18,7 @@
 	mux    *Mux
 	verify Verifier
 	count  *Counters
+	clock  Clock
 }
 
 // Verifier checks that the daemon on a connection may claim the address that
@@ -38,8 +39,8 @@
 }
 
 // NewServer returns a server of the handlers in mux.
-func NewServer(mux *Mux, verify Verifier, count *Counters) *Server {
-	return &Server{mux: mux, verify: verify, count: count}
+func NewServer(mux *Mux, verify Verifier, count *Counters, options ...Option) *Server {
+	return &Server{mux: mux, verify: verify, count: count, clock: newOptions(options).clock}
 }
 
 // Serve accepts connections until the context ends, closes them and waits for
@@ -69,7 +70,7 @@
 func (s *Server) serve(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	v := &serving{server: s, link: newLink(c, s.count), cancels: make(map[uint64]context.CancelFunc)}
+	v := &serving{server: s, link: newLink(c, s.count, s.clock), cancels: make(map[uint64]context.CancelFunc)}
 	stop := context.AfterFunc(ctx, v.link.close)
 	defer stop()
 	v.wait.Go(v.link.write)
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -179,11 +179,11 @@
 
 func TestBadFrameClosesTheConnectionAndIsCounted(t *testing.T) {
 	bad := map[string][]byte{
-		"version":    {0, 0, 0, 0, 9, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0},
-		"size":       {255, 0, 0, 0, version, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0},
-		"type":       {0, 0, 0, 0, version, 99, 0, 0, 0, 0, 0, 0, 0, 0, 0},
-		"hello":      {0, 0, 0, 1, version, byte(frameHello), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xc1},
-		"call first": {0, 0, 0, 0, version, byte(frameCall), 1, 0, 0, 0, 0, 0, 0, 0, 0},
+		"version":    {0, 0, 0, 0, 9, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"size":       {255, 0, 0, 0, version, byte(frameCall), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"type":       {0, 0, 0, 0, version, 99, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
+		"hello":      {0, 0, 0, 1, version, byte(frameHello), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0xc1},
+		"call first": {0, 0, 0, 0, version, byte(frameCall), 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0},
 	}
 	for name, b := range bad {
 		t.Run(name, func(t *testing.T) {
@@ -202,17 +202,46 @@
 	}
 }
 
+// clock is a Clock that tests read.
+type clock struct {
+	now      uint64
+	observed chan uint64
+}
+
+func (c *clock) Logical() uint64 { return c.now }
+
+func (c *clock) Observe(logical uint64) { c.observed <- logical }
+
+func TestFramesCarryTheLogicalTime(t *testing.T) {
+	mux := &Mux{}
+	mux.Handle(KindAsk, echo)
+	pair(t, mux, func(t *testing.T, _ *Client, p *pipes, _ *Counters) {
+		k := &clock{now: 7, observed: make(chan uint64, 1)}
+		c := NewClient(alpha, p.dial, &Counters{}, WithClock(k))
+		must.NoError(t, c.Call(context.Background(), beta, KindAsk, "x", nil))
+		// The server of this test keeps no clock.
+		must.Eq(t, 0, <-k.observed)
+		c.Close()
+	})
+	l := frameLink{clock: &clock{now: 7}}
+	f, err := readFrame(bufio.NewReader(bytes.NewReader(l.stamp(nil, frame{kind: frameCall}))))
+	must.NoError(t, err)
+	must.Eq(t, 7, f.logical)
+}
+
 func TestFrameRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := frame{
-			kind: frameType(rapid.IntRange(int(frameHello), int(framePong)).Draw(t, "type")),
-			call: Kind(rapid.Uint8().Draw(t, "kind")),
-			id:   rapid.Uint64().Draw(t, "id"),
-			body: rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
+			kind:    frameType(rapid.IntRange(int(frameHello), int(framePong)).Draw(t, "type")),
+			call:    Kind(rapid.Uint8().Draw(t, "kind")),
+			id:      rapid.Uint64().Draw(t, "id"),
+			logical: rapid.Uint64().Draw(t, "logical"),
+			body:    rapid.SliceOfN(rapid.Byte(), 0, 64).Draw(t, "body"),
 		}
 		got, err := readFrame(bufio.NewReader(bytes.NewReader(appendFrame(nil, f))))
 		must.NoError(t, err)
 		must.Eq(t, f.id, got.id)
+		must.Eq(t, f.logical, got.logical)
 		must.Eq(t, f.kind, got.kind)
 		must.Eq(t, f.call, got.call)
 		must.True(t, bytes.Equal(f.body, got.body))
