Keep one settable view and one simple admission for tests

Cause: a view that tests set stood in three packages, and the simple gate of the proxy's tests could not be used elsewhere. After: view.Memory beside the other in-process versions, standin/admission.

--- a/internal/caller/proxy/bench_test.go
+++ b/internal/caller/proxy/bench_test.go
@@ -25,6 +25,8 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/admission"
 )
 
 // streamTokens is the length of a measured stream.
@@ -58,8 +60,8 @@
 	e := standengine.New(standengine.WithTokensPerSecond(tokensPerSecond), standengine.WithCapacity(10_000))
 	engineListener, daemonListener := listen(b), listen(b)
 	go func() { _ = e.Serve(ctx, engineListener) }()
-	s := &source{}
-	s.change(func(s *view.State) {
+	s := &view.Memory{}
+	s.Change(func(s *view.State) {
 		s.Config = config.NewSnapshot(document())
 		s.ConfirmedUntil = time.Now().Add(time.Hour)
 		s.Servers = []fleet.Server{{
@@ -67,7 +69,7 @@
 			Address: netip.MustParseAddrPort(engineListener.Addr().String()),
 		}}
 	})
-	o := proxy.Options{Gate: &firstGate{source: s}, Source: s}
+	o := proxy.Options{Gate: &admission.First{Source: s}, Source: s}
 	if !paced {
 		c := exchange.New()
 		o.Engines = func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, c) }
@@ -193,8 +195,8 @@
 
 // BenchmarkKeyedCheck is the check made for each chunk of a stream.
 func BenchmarkKeyedCheck(b *testing.B) {
-	s := &source{}
-	s.change(func(s *view.State) {
+	s := &view.Memory{}
+	s.Change(func(s *view.State) {
 		s.Config = config.NewSnapshot(document())
 		s.ConfirmedUntil = time.Now().Add(time.Hour)
 	})
--- a/internal/caller/proxy/fixture_test.go
+++ b/internal/caller/proxy/fixture_test.go
@@ -23,7 +23,6 @@
 	"github.com/lacewingtally/lacewingtally/internal/backend/service"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/loop"
-	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/caller/proxy"
 	"github.com/lacewingtally/lacewingtally/internal/control/claim"
@@ -37,6 +36,8 @@
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
 	"github.com/lacewingtally/lacewingtally/internal/standin/link"
 	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/admission"
 )
 
 const (
@@ -45,84 +46,6 @@
 	region   = "cz-stred"
 )
 
-// source is a view.Source that tests change.
-type source struct {
-	mutex sync.Mutex
-	state *view.State
-	next  chan struct{}
-}
-
-func (s *source) State() *view.State {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.state
-}
-
-func (s *source) change(f func(*view.State)) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	var n view.State
-	if s.state != nil {
-		n = *s.state
-	}
-	f(&n)
-	old := s.next
-	s.next = make(chan struct{})
-	n.Superseded = s.next
-	s.state = &n
-	if old != nil {
-		close(old)
-	}
-}
-
-// firstGate grants the first live server that is not excluded.
-type firstGate struct {
-	source *source
-	// acquire and release, if set, are called first.
-	acquire, release func()
-	mutex            sync.Mutex
-	grants           int
-	reports          []gate.Report
-}
-
-func (g *firstGate) Acquire(_ context.Context, r gate.Request) (gate.Grant, error) {
-	if g.acquire != nil {
-		g.acquire()
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-next:
-	for _, s := range g.source.State().Servers {
-		if s.Pool != r.Pool || s.State != fleet.StateLive {
-			continue
-		}
-		for _, x := range r.Exclude {
-			if x == s.ID {
-				continue next
-			}
-		}
-		g.grants++
-		return gate.Grant{ID: fmt.Sprint(g.grants), Server: s, NotAfter: time.Now().Add(time.Second), Request: r}, nil
-	}
-	return gate.Grant{}, refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(time.Second), nil)
-}
-
-func (g *firstGate) Release(_ gate.Grant, r gate.Report) {
-	if g.release != nil {
-		g.release()
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.reports = append(g.reports, r)
-}
-
-// balance is grants less releases.
-func (g *firstGate) balance() int {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.grants - len(g.reports)
-}
-
 // mortalGate is the gate of a daemon that can die: a dead one gives nothing
 // back.
 type mortalGate struct {
@@ -142,7 +65,7 @@
 	// dead is set by kill.
 	dead     atomic.Bool
 	kill     func()
-	gate     *firstGate
+	gate     *admission.First
 	running  *proxy.Running
 	suspects *suspect.Runtime
 }
@@ -155,7 +78,7 @@
 	network  link.Network
 	peers    wire.Memory
 	table    table.Memory
-	source   *source
+	source   *view.Memory
 	daemons  []*daemon
 	engines  []*standengine.Engine
 	services []*standservice.Service
@@ -197,7 +120,7 @@
 	// acquire and release, if set, are called by the gates.
 	acquire, release func()
 	budget           proxy.Budget
-	// cells admits by the dispatchers of cells in place of firstGate.
+	// cells admits by the dispatchers of cells in place of admission.First.
 	cells bool
 	// commit, if set, stands before each commit of a daemon.
 	commit     func(d int, t table.Txn, commit func() error) error
@@ -211,7 +134,7 @@
 
 func newFixture(t *testing.T, o fixtureOptions) *fleetFixture {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &fleetFixture{t: t, ctx: ctx, stop: stop, options: o, source: &source{}}
+	f := &fleetFixture{t: t, ctx: ctx, stop: stop, options: o, source: &view.Memory{}}
 	f.network.Decide = o.decide
 	f.table.Fault = o.tableFault
 	var servers []fleet.Server
@@ -237,7 +160,7 @@
 			Pool: "bookings", State: fleet.StateLive, Capacity: 64, Region: region, Kind: fleet.Standard,
 		})
 	}
-	f.source.change(func(s *view.State) {
+	f.source.Change(func(s *view.State) {
 		s.Config = config.NewSnapshot(document())
 		s.ConfirmedUntil = time.Now().Add(time.Hour)
 		s.Servers = servers
@@ -274,7 +197,7 @@
 func (f *fleetFixture) addDaemon(i int) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	d := &daemon{address: address(3, i), running: proxy.NewRunning(f.source)}
-	d.gate = &firstGate{source: f.source, acquire: f.options.acquire, release: f.options.release}
+	d.gate = &admission.First{Source: f.source, BeforeAcquire: f.options.acquire, BeforeRelease: f.options.release}
 	t := daemonTable{Table: &f.table, daemon: d, fixture: f, index: i}
 	l := loop.New()
 	var mux wire.Mux
@@ -289,9 +212,9 @@
 		}
 		return f.network.Dial(ctx, to)
 	}))
-	var admission gate.Gate = d.gate
+	var admitted gate.Gate = d.gate
 	if f.options.cells {
-		admission = mortalGate{Client: f.addCells(ctx, d, &mux), daemon: d}
+		admitted = mortalGate{Client: f.addCells(ctx, d, &mux), daemon: d}
 	}
 	// Calls arrive only once all is handled.
 	f.peers.Attach(d.address, &mux)
@@ -299,7 +222,7 @@
 		Budget:   f.options.budget,
 		Claims:   claims,
 		Engines:  func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, client) },
-		Gate:     admission,
+		Gate:     admitted,
 		Services: service.NewHTTP(client),
 		Source:   f.source,
 		Suspects: d.suspects,
@@ -352,7 +275,7 @@
 			continue
 		}
 		must.NoError(f.t, d.running.Drain(drain))
-		must.Zero(f.t, d.gate.balance(), must.Sprint("grants not released"))
+		must.Zero(f.t, d.gate.Balance(), must.Sprint("grants not released"))
 	}
 	f.stop()
 	f.wait.Wait()
--- a/internal/caller/proxy/generation_test.go
+++ b/internal/caller/proxy/generation_test.go
@@ -68,7 +68,7 @@
 				return
 			}
 			withdrawn = time.Now()
-			f.source.change(func(s *view.State) {
+			f.source.Change(func(s *view.State) {
 				c := document()
 				c.Keys[0].WithdrawnAt = time.Now()
 				s.Config = config.NewSnapshot(c)
@@ -86,7 +86,7 @@
 		f := newFixture(t, fixtureOptions{engines: 1, engine: []standengine.Option{standengine.WithTokensPerSecond(1)}})
 		defer f.close()
 		until := time.Now().Add(2500 * time.Millisecond)
-		f.source.change(func(s *view.State) { s.ConfirmedUntil = until })
+		f.source.Change(func(s *view.State) { s.ConfirmedUntil = until })
 		_, err := f.generate(0, key, "ovens", nil)
 		must.EqOp(t, string(refusal.ReasonUnconfirmed), refusalOf(t, err).Reason)
 		must.EqOp(t, until, time.Now())
--- a/internal/caller/proxy/key_test.go
+++ b/internal/caller/proxy/key_test.go
@@ -122,7 +122,7 @@
 				return
 			}
 			moved = time.Now()
-			f.source.change(func(s *view.State) {
+			f.source.Change(func(s *view.State) {
 				c := document()
 				c.Keys[0].Workspace = "caterers"
 				s.Config = config.NewSnapshot(c)
--- a/internal/caller/proxy/matrix_test.go
+++ b/internal/caller/proxy/matrix_test.go
@@ -122,7 +122,7 @@
 	i.armed = nil
 	i.storeDownUntil, i.closedAt = time.Time{}, time.Time{}
 	i.answersLost = 0
-	i.fixture.source.change(func(s *view.State) {
+	i.fixture.source.Change(func(s *view.State) {
 		s.Config = config.NewSnapshot(document())
 		s.ConfirmedUntil = time.Now().Add(time.Hour)
 	})
@@ -256,14 +256,14 @@
 		i.fixture.daemons[0].kill()
 	case faultKey:
 		i.closedAt = time.Now()
-		i.fixture.source.change(func(s *view.State) {
+		i.fixture.source.Change(func(s *view.State) {
 			c := document()
 			c.Keys[0].WithdrawnAt = time.Now()
 			s.Config = config.NewSnapshot(c)
 		})
 	case faultView:
 		i.closedAt = time.Now()
-		i.fixture.source.change(func(s *view.State) { s.ConfirmedUntil = time.Now() })
+		i.fixture.source.Change(func(s *view.State) { s.ConfirmedUntil = time.Now() })
 	case faultStoreDown:
 		i.storeDownUntil = time.Now().Add(10 * time.Second)
 	case faultAnswerLost:
--- a/internal/caller/proxy/poison_test.go
+++ b/internal/caller/proxy/poison_test.go
@@ -141,7 +141,7 @@
 			}
 			time.Sleep(550 * time.Millisecond)
 			if leaving {
-				f.source.change(func(s *view.State) {
+				f.source.Change(func(s *view.State) {
 					s.Servers = slices.Clone(s.Servers)
 					s.Servers[0].State = fleet.StateLeaving
 				})
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -90,28 +90,15 @@
 	return g.started, g.tokens
 }
 
-// source is a view that is always confirmed, with one key for each workspace.
-type source struct {
-	mutex sync.Mutex
-	state *view.State
-}
-
-func (s *source) State() *view.State {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.state
-}
-
-func (s *source) set(members []fleet.Member, keys ...config.Key) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.state = &view.State{
-		Config: config.NewSnapshot(config.Config{
+// set makes a view that stays confirmed, with one key for each workspace.
+func set(m *view.Memory, members []fleet.Member, keys ...config.Key) {
+	m.Change(func(s *view.State) {
+		s.Config = config.NewSnapshot(config.Config{
 			Keys: keys, Pools: []config.Pool{{Name: "p", Protocol: config.ProtocolEngine}},
-		}),
-		ConfirmedUntil: time.Now().Add(24 * time.Hour),
-		Members:        members,
-	}
+		})
+		s.ConfirmedUntil = time.Now().Add(24 * time.Hour)
+		s.Members = members
+	})
 }
 
 type daemon struct {
@@ -124,7 +111,7 @@
 	table     table.Memory
 	objects   object.Memory
 	weights   weights.Memory
-	view      source
+	view      view.Memory
 	generator generator
 	members   []fleet.Member
 	fault     atomic.Pointer[func(bool, []table.Key) table.Fault]
@@ -152,7 +139,7 @@
 		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)), Incarnation: fleet.Incarnation(fmt.Sprint(n)),
 	}}
 	w.members = append(w.members, m)
-	w.view.set(w.members, config.Key{Hash: keyOfTests, Workspace: "w"})
+	set(&w.view, w.members, config.Key{Hash: keyOfTests, Workspace: "w"})
 	return m
 }
 
@@ -249,7 +236,7 @@
 		must.Eq(t, connect.CodeUnauthenticated, connect.CodeOf(submit(t, a, "other", 1)))
 		must.NoError(t, submit(t, a, "k", 4))
 		time.Sleep(2 * time.Second)
-		w.view.set(w.members)
+		set(&w.view, w.members)
 		time.Sleep(300 * time.Millisecond)
 		started, tokens := w.generator.counts()
 		must.Less(t, 12*20, tokens)
@@ -259,7 +246,7 @@
 		startedLater, tokensLater := w.generator.counts()
 		must.Eq(t, started, startedLater)
 		must.Eq(t, tokens, tokensLater)
-		w.view.set(w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
+		set(&w.view, w.members, config.Key{Hash: config.HashKey("k"), Workspace: "w"})
 		got, err := fetch(t, a, 1)
 		must.NoError(t, err)
 		must.Len(t, 6, got.GetSamples())
--- /dev/null
+++ b/internal/control/view/memory.go
@@ -0,0 +1,52 @@
+package view
+
+import (
+	"sync"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/config"
+)
+
+// Memory is a Source whose state is set, for tests and models. The zero value
+// has an empty configuration and is never confirmed. Its methods may be called
+// from any goroutine.
+type Memory struct {
+	mutex sync.Mutex
+	// state is nil until the first use.
+	state *State
+	// superseded is that of state.
+	superseded chan struct{}
+}
+
+// Change makes a new state, a copy of the newest one that f changes, and closes
+// the old one's Superseded.
+func (m *Memory) Change(f func(s *State)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	old := m.superseded
+	next := *m.newest()
+	f(&next)
+	m.set(next)
+	if old != nil {
+		close(old)
+	}
+}
+
+// State implements Source.
+func (m *Memory) State() *State {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.newest()
+}
+
+func (m *Memory) newest() *State {
+	if m.state == nil {
+		m.set(State{Config: config.NewSnapshot(config.Config{})})
+	}
+	return m.state
+}
+
+func (m *Memory) set(s State) {
+	m.superseded = make(chan struct{})
+	s.Superseded = m.superseded
+	m.state = &s
+}
--- a/internal/peer/grant/world_test.go
+++ b/internal/peer/grant/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,32 +30,17 @@
 	suite.Main(m)
 }
 
-// source is a view that tests set.
-type source struct {
-	mutex   sync.Mutex
-	current atomic.Pointer[view.State]
-	old     chan struct{}
-}
-
-func (s *source) State() *view.State {
-	return s.current.Load()
-}
-
-func (s *source) set(c *config.Snapshot, members []fleet.Member) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	next := make(chan struct{})
-	s.current.Store(&view.State{Config: c, Members: members, ConfirmedUntil: time.Now().Add(time.Hour), Superseded: next})
-	if s.old != nil {
-		close(s.old)
-	}
-	s.old = next
+// set makes a confirmed view of some members.
+func set(m *view.Memory, c *config.Snapshot, members []fleet.Member) {
+	m.Change(func(s *view.State) {
+		s.Config, s.Members, s.ConfirmedUntil = c, members, time.Now().Add(time.Hour)
+	})
 }
 
 // daemon is one daemon of a test.
 type daemon struct {
 	member     fleet.Member
-	view       *source
+	view       *view.Memory
 	servers    *server.Registry
 	dispatcher *Dispatcher
 	client     *Client
@@ -98,8 +82,8 @@
 func (w *world) start(i int, inc fleet.Incarnation) *daemon {
 	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), 7000)
 	m := fleet.Member{ID: fleet.MemberID{Address: at, Incarnation: inc}, Region: testRegion}
-	d := &daemon{member: m, view: &source{}, servers: server.NewRegistry(), stopped: make(chan struct{})}
-	d.view.set(w.config, []fleet.Member{m})
+	d := &daemon{member: m, view: &view.Memory{}, servers: server.NewRegistry(), stopped: make(chan struct{})}
+	set(d.view, w.config, []fleet.Member{m})
 	d.servers.List(time.Now(), w.list)
 	mux := &wire.Mux{}
 	d.dispatcher = NewDispatcher(m, d.view, d.servers)
@@ -142,7 +126,7 @@
 		}
 	}
 	for _, d := range w.daemons {
-		d.view.set(w.config, members)
+		set(d.view, w.config, members)
 	}
 }
 
--- /dev/null
+++ b/internal/standin/admission/first.go
@@ -0,0 +1,77 @@
+// Package admission is a small stand-in of the dispatchers.
+package admission
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
+	"github.com/lacewingtally/lacewingtally/internal/control/view"
+)
+
+const (
+	// grantWindow is how long a grant may be used.
+	grantWindow = time.Second
+	// returnAfter is when a refused request may come back.
+	returnAfter = time.Second
+)
+
+// First is a gate.Gate that grants the first live server that is not excluded,
+// to anyone at once. Its methods may be called from any goroutine.
+type First struct {
+	Source view.Source
+	// BeforeAcquire and BeforeRelease, if set, are called first.
+	BeforeAcquire func()
+	BeforeRelease func()
+
+	mutex   sync.Mutex
+	grants  int
+	reports []gate.Report
+}
+
+// Acquire implements gate.Gate.
+func (f *First) Acquire(_ context.Context, r gate.Request) (gate.Grant, error) {
+	if f.BeforeAcquire != nil {
+		f.BeforeAcquire()
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	now := time.Now()
+	for _, s := range f.Source.State().Servers {
+		if s.Pool != r.Pool || s.State != fleet.StateLive || slices.Contains(r.Exclude, s.ID) {
+			continue
+		}
+		f.grants++
+		return gate.Grant{ID: fmt.Sprint(f.grants), Server: s, NotAfter: now.Add(grantWindow), Request: r}, nil
+	}
+	return gate.Grant{}, refusal.NotRun(refusal.ReasonNoServer, now.Add(returnAfter), nil)
+}
+
+// Balance returns the number of grants that were not released.
+func (f *First) Balance() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.grants - len(f.reports)
+}
+
+// Release implements gate.Gate.
+func (f *First) Release(_ gate.Grant, r gate.Report) {
+	if f.BeforeRelease != nil {
+		f.BeforeRelease()
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.reports = append(f.reports, r)
+}
+
+// Reports returns how the released grants ended, in order.
+func (f *First) Reports() []gate.Report {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.reports)
+}
