--- a/internal/standin/admission/first.go
+++ b/internal/caller/gate/first.go
@@ -1,5 +1,4 @@
-// Package admission is a small stand-in of the dispatchers.
-package admission
+package gate
 
 import (
 	"context"
@@ -10,7 +9,6 @@
 
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
-	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 )
 
@@ -21,8 +19,8 @@
 	returnAfter = time.Second
 )
 
-// First is a gate.Gate that grants the first live server that is not excluded,
-// to anyone at once. Its methods may be called from any goroutine.
+// First is a Gate within one process, for tests: it grants the first live server
+// that is not excluded, to anyone at once. Its methods may be called from any goroutine.
 type First struct {
 	Source view.Source
 	// BeforeAcquire and BeforeRelease, if set, are called first.
@@ -31,11 +29,11 @@
 
 	mutex   sync.Mutex
 	grants  int
-	reports []gate.Report
+	reports []Report
 }
 
-// Acquire implements gate.Gate.
-func (f *First) Acquire(_ context.Context, r gate.Request) (gate.Grant, error) {
+// Acquire implements Gate.
+func (f *First) Acquire(_ context.Context, r Request) (Grant, error) {
 	if f.BeforeAcquire != nil {
 		f.BeforeAcquire()
 	}
@@ -47,9 +45,9 @@
 			continue
 		}
 		f.grants++
-		return gate.Grant{ID: fmt.Sprint(f.grants), Server: s, NotAfter: now.Add(grantWindow), Request: r}, nil
+		return Grant{ID: fmt.Sprint(f.grants), Server: s, NotAfter: now.Add(grantWindow), Request: r}, nil
 	}
-	return gate.Grant{}, refusal.NotRun(refusal.ReasonNoServer, now.Add(returnAfter), nil)
+	return Grant{}, refusal.NotRun(refusal.ReasonNoServer, now.Add(returnAfter), nil)
 }
 
 // Balance returns the number of grants that were not released.
@@ -59,8 +57,8 @@
 	return f.grants - len(f.reports)
 }
 
-// Release implements gate.Gate.
-func (f *First) Release(_ gate.Grant, r gate.Report) {
+// Release implements Gate.
+func (f *First) Release(_ Grant, r Report) {
 	if f.BeforeRelease != nil {
 		f.BeforeRelease()
 	}
@@ -70,7 +68,7 @@
 }
 
 // Reports returns how the released grants ended, in order.
-func (f *First) Reports() []gate.Report {
+func (f *First) Reports() []Report {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return slices.Clone(f.reports)
--- a/internal/caller/proxy/bench_test.go
+++ b/internal/caller/proxy/bench_test.go
@@ -21,12 +21,11 @@
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
 	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/caller/gate"
 	"github.com/lacewingtally/lacewingtally/internal/caller/proxy"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/control/view"
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
-
-	"github.com/lacewingtally/lacewingtally/internal/standin/admission"
 )
 
 // streamTokens is the length of a measured stream.
@@ -69,7 +68,7 @@
 			Address: netip.MustParseAddrPort(engineListener.Addr().String()),
 		}}
 	})
-	o := proxy.Options{Gate: &admission.First{Source: s}, Source: s}
+	o := proxy.Options{Gate: &gate.First{Source: s}, Source: s}
 	if !paced {
 		c := exchange.New()
 		o.Engines = func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, c) }
--- a/internal/caller/proxy/fixture_test.go
+++ b/internal/caller/proxy/fixture_test.go
@@ -36,8 +36,6 @@
 	standengine "github.com/lacewingtally/lacewingtally/internal/standin/engine"
 	"github.com/lacewingtally/lacewingtally/internal/standin/link"
 	standservice "github.com/lacewingtally/lacewingtally/internal/standin/service"
-
-	"github.com/lacewingtally/lacewingtally/internal/standin/admission"
 )
 
 const (
@@ -65,7 +63,7 @@
 	// dead is set by kill.
 	dead     atomic.Bool
 	kill     func()
-	gate     *admission.First
+	gate     *gate.First
 	running  *proxy.Running
 	suspects *suspect.Runtime
 }
@@ -120,7 +118,7 @@
 	// acquire and release, if set, are called by the gates.
 	acquire, release func()
 	budget           proxy.Budget
-	// cells admits by the dispatchers of cells in place of admission.First.
+	// cells admits by the dispatchers of cells in place of gate.First.
 	cells bool
 	// commit, if set, stands before each commit of a daemon.
 	commit     func(d int, t table.Txn, commit func() error) error
@@ -197,7 +195,7 @@
 func (f *fleetFixture) addDaemon(i int) {
 	ctx, cancel := context.WithCancel(f.ctx)
 	d := &daemon{address: address(3, i), running: proxy.NewRunning(f.source)}
-	d.gate = &admission.First{Source: f.source, BeforeAcquire: f.options.acquire, BeforeRelease: f.options.release}
+	d.gate = &gate.First{Source: f.source, BeforeAcquire: f.options.acquire, BeforeRelease: f.options.release}
 	t := daemonTable{Table: &f.table, daemon: d, fixture: f, index: i}
 	l := loop.New()
 	var mux wire.Mux
