Look at the newest epoch in one step with the commit, in the matrix of orders

The test's table noted a commit and then read the epoch's row in a second step; another daemon could acquire between them, so a rightful intent of epoch 2 was held against epoch 3. Ruled out: the condition on the epoch (the commit had succeeded under it; the cell froze only the reader). The check is stricter: no transaction comes between the two.

--- a/internal/control/scale/matrix_test.go
+++ b/internal/control/scale/matrix_test.go
@@ -100,6 +100,8 @@
 	table  table.Memory
 	orders order.Memory
 	demand atomic.Int64
+	// commits makes a commit and the look at the epoch one step.
+	commits sync.Mutex
 
 	mutex sync.Mutex
 	// wrong are breaches of the rules on intents.
@@ -163,17 +165,20 @@
 	return ""
 }
 
-// observed notes the intents that were written.
+// observed notes the intents that were written. No other transaction comes
+// between one and the look at the epoch that was the newest then.
 type observed struct {
 	*table.Memory
 	world *world
 }
 
 func (o observed) Commit(ctx context.Context, t table.Txn) error {
+	o.world.commits.Lock()
+	defer o.world.commits.Unlock()
 	if err := o.Memory.Commit(ctx, t); err != nil {
 		return err
 	}
-	rows, err := o.Read(ctx, lease.EpochKey("r", lease.Orders))
+	rows, err := o.Memory.Read(ctx, lease.EpochKey("r", lease.Orders))
 	if err != nil {
 		return err
 	}
