--- a/internal/control/scale/matrix_test.go
+++ b/internal/control/scale/matrix_test.go
@@ -178,7 +178,7 @@
 	if err := o.Memory.Commit(ctx, t); err != nil {
 		return err
 	}
-	rows, err := o.Memory.Read(ctx, lease.EpochKey("r", lease.Orders))
+	rows, err := o.Read(ctx, lease.EpochKey("r", lease.Orders))
 	if err != nil {
 		return err
 	}
