Keep a duty's name with its keeper, and one client for control calls to servers

Cause: the read-through found a list of duties that had to stay in the order of the list of keepers, and a new HTTP transport for each reading of an engine's load (one a server and second). Behaviour is the same: each exchange still has a connection of its own. Ruled out: sharing the client of the traffic path (it has its own in caller/proxy). The tests of internal/daemon, end to end included, pass with the race detector; the linter is clean.

--- a/internal/daemon/daemon/parts.go
+++ b/internal/daemon/daemon/parts.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/backend/engine"
+	"github.com/lacewingtally/lacewingtally/internal/backend/exchange"
 	"github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/loop"
 	"github.com/lacewingtally/lacewingtally/internal/caller/proxy"
@@ -38,8 +39,12 @@
 // that may not be repeated are its largest user.
 const tableCalls = 100
 
-// duties names the duties in the order of parts.keepers.
-var duties = []fleet.Duty{lease.Usage, lease.Weights, lease.Orders}
+// keeper is the keeper of one duty, with the duty's name.
+type keeper struct {
+	*lease.Keeper
+
+	duty fleet.Duty
+}
 
 // parts are the parts of one daemon. All are set.
 type parts struct {
@@ -62,6 +67,8 @@
 	servers *server.Registry
 	tracker *serverTracker
 
+	// backend makes the exchanges of control work with backend servers.
+	backend *exchange.Client
 	table   table.Table
 	vmlist  vmlist.Service
 	weights weights.Service
@@ -76,7 +83,7 @@
 	rollout    rollout.Parts
 	runner     *rollout.Runner
 	writer     *window.Writer
-	keepers    []*lease.Keeper
+	keepers    []keeper
 }
 
 func newParts(s settings.Settings, self fleet.Member, log *zap.Logger) (*parts, error) {
@@ -91,6 +98,7 @@
 		self:      self,
 		settings:  s,
 		identity:  identity,
+		backend:   exchange.New(),
 		counters:  &wire.Counters{},
 		mux:       &wire.Mux{},
 		loop:      loop.New(),
@@ -111,7 +119,7 @@
 	region := p.self.Region
 	orders := order.NewHTTP(p.settings.Platform.Orders)
 	reports := usage.NewHTTP(p.settings.Platform.Usage)
-	dial := func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, nil) }
+	dial := func(s fleet.Server) engine.Engine { return engine.NewHTTP(s.Address, p.backend) }
 	p.addKeeper(window.NewDuty(p.table, reports, region, p.self.ID.Incarnation, p.recorder))
 	p.addKeeper(weight.NewDuty(weight.Policy{Regions: len(p.settings.Regions)}, dial, p.weights, p.member, region, p.recorder))
 	p.addKeeper(scale.NewDuty(p.table, orders, p.member, region, p.domains(), p.tracker.demand, p.recorder))
@@ -119,7 +127,7 @@
 
 func (p *parts) addKeeper(d lease.Duty) {
 	k := lease.NewKeeper(p.table, p.member, p.member, p.self, d, lease.WithLog(p.log), lease.WithRecorder(p.recorder))
-	p.keepers = append(p.keepers, k)
+	p.keepers = append(p.keepers, keeper{Keeper: k, duty: d.Name()})
 }
 
 func (p *parts) addPlatform() {
--- a/internal/daemon/daemon/sample.go
+++ b/internal/daemon/daemon/sample.go
@@ -41,10 +41,10 @@
 }
 
 func (s *sampler) held(now time.Time) map[fleet.Duty]bool {
-	held := make(map[fleet.Duty]bool, len(duties))
-	for i, k := range s.parts.keepers {
+	held := make(map[fleet.Duty]bool, len(s.parts.keepers))
+	for _, k := range s.parts.keepers {
 		_, _, err := k.Check(now)
-		held[duties[i]] = err == nil
+		held[k.duty] = err == nil
 	}
 	return held
 }
--- a/internal/daemon/daemon/servers.go
+++ b/internal/daemon/daemon/servers.go
@@ -143,7 +143,7 @@
 func (t *serverTracker) load(ctx context.Context, s fleet.Server) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	v, err := engine.NewHTTP(s.Address, nil).Status(ctx)
+	v, err := engine.NewHTTP(s.Address, t.parts.backend).Status(ctx)
 	if err != nil {
 		t.parts.log.Debug("engine does not report", zap.String("Server", string(s.ID)), zap.Error(err))
 		return
--- a/internal/daemon/daemon/status.go
+++ b/internal/daemon/daemon/status.go
@@ -148,14 +148,14 @@
 func (s statusSource) own(ctx context.Context) statusAnswer {
 	now := time.Now()
 	a := statusAnswer{Revision: s.parts.member.State().Config.Config.Revision}
-	for i, k := range s.parts.keepers {
+	for _, k := range s.parts.keepers {
 		e, _, err := k.Check(now)
 		if err != nil {
 			continue
 		}
 		a.Leases = append(a.Leases, operator.LeaseStatus{
 			Region: s.parts.self.Region,
-			Duty:   duties[i],
+			Duty:   k.duty,
 			Holder: s.parts.self.ID,
 			Epoch:  e,
 		})
