--- a/cmd/lacewingtally/main.go
+++ b/cmd/lacewingtally/main.go
@@ -15,6 +15,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := command.Run(ctx, command.Options{
 		Serve:  daemon.Run,
+		Front:  runFront,
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 	}, os.Args[1:])
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lacewingtally/lacewingtally/internal/daemon/settings"
+	front "github.com/lacewingtally/lacewingtally/internal/front/settings"
 )
 
 // Exit codes.
@@ -50,7 +51,9 @@
 // Options are what the command line needs from outside.
 type Options struct {
 	// Serve runs a daemon until the context ends and the daemon has drained.
-	Serve  func(ctx context.Context, s settings.Settings) error
+	Serve func(ctx context.Context, s settings.Settings) error
+	// Front runs a daemon on the users' platform.
+	Front  func(ctx context.Context, s front.Settings) error
 	Stdout io.Writer
 	Stderr io.Writer
 }
@@ -106,6 +109,7 @@
 	a.Flag("key-file", "File with the caller's key; none for open routes.").Envar("LACEWINGTALLY_KEY_FILE").StringVar(&s.keyFile)
 	a.Flag("output", "Form of the output: text or json.").Default(outputText).EnumVar(&s.output, outputText, outputJSON)
 	s.addServe(a)
+	s.addFront(a)
 	s.addSettings(a)
 	s.addCertificate(a)
 	s.addWorkspace(a)
--- /dev/null
+++ b/internal/front/batch/run.go
@@ -0,0 +1,230 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/sse"
+)
+
+const (
+	// refusedWait is the wait after a server refused an item.
+	refusedWait = 60 * time.Millisecond
+	// restTime is how long a server that could not be reached gets no items.
+	restTime = 500 * time.Millisecond
+	// itemUrgency ranks items behind live requests, which have 5 by default.
+	itemUrgency = 7
+	// itemDeadline bounds one run of an item.
+	itemDeadline = 60 * time.Second
+)
+
+// errStale says that a server runs weights that are too old for an item.
+var errStale = errors.New("batch: weights too old")
+
+// start runs an item on a server. It is called with the mutex held.
+func (r *Runner) start(ctx context.Context, p schedule.Placement) {
+	s, ok := r.fleet.Servers().Get(p.Server)
+	if !ok {
+		return
+	}
+	for _, j := range r.jobs {
+		i := j.items[p.Work.ID]
+		if i == nil || i.stop != nil || i.done {
+			continue
+		}
+		c, cancel := context.WithCancel(ctx)
+		i.stop, i.server, i.begun, i.moving, i.lap = cancel, s.ID, false, false, lap{}
+		i.sentAt, i.progressAt = time.Now(), time.Now()
+		r.work.Add(1)
+		go r.run(c, j, i, s)
+		return
+	}
+}
+
+// run runs an item until it is done, fails or is stopped.
+func (r *Runner) run(ctx context.Context, j *job, i *item, s backend.Server) {
+	defer r.work.Done()
+	status, err := r.attempt(ctx, j, i, s)
+	stopped := ctx.Err() != nil
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	i.stop()
+	i.stop, i.server = nil, ""
+	if j.ended || i.done {
+		return
+	}
+	r.conclude(j, i, s, status, err, stopped)
+	r.kick()
+}
+
+// conclude decides what follows a run. It is called with the mutex held.
+func (r *Runner) conclude(j *job, i *item, s backend.Server, status int, err error, stopped bool) {
+	now := time.Now()
+	switch {
+	case stopped:
+		return
+	case errors.Is(err, backend.ErrNotSent):
+		r.paces.rest(s.ID, restTime)
+		i.avoid = s.ID
+	case errors.Is(err, errStale):
+		i.notBefore = now.Add(refusedWait)
+		i.avoid = s.ID
+	case err != nil:
+		i.avoid = s.ID
+		if !i.begun {
+			i.notBefore = now.Add(refusedWait)
+		}
+	case status == http.StatusOK:
+		r.finish(j, i, Completed, "")
+		return
+	case status == http.StatusUnprocessableEntity:
+		r.finish(j, i, Abandoned, "server cannot run it")
+		return
+	case status == http.StatusInternalServerError:
+		i.progress.Failures++
+		i.avoid = s.ID
+		if i.progress.Failures >= r.maxAttempts(j, i) {
+			r.finish(j, i, Abandoned, "attempts failed")
+			return
+		}
+	default:
+		i.notBefore = now.Add(refusedWait)
+		i.avoid = s.ID
+	}
+	r.log.Info("item to run again", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", s.ID),
+		zap.Int("Status", status), zap.Int("After", i.progress.After), zap.Error(err))
+}
+
+// finish records the outcome of an item. It is called with the mutex held.
+func (r *Runner) finish(j *job, i *item, s State, reason string) {
+	i.done = true
+	if i.stop != nil {
+		i.stop()
+	}
+	result := Result{ID: i.ID, State: s}
+	if s == Completed {
+		result.Text = strings.Join(i.progress.Data, "\n")
+		result.Weights = i.progress.Weights
+	} else {
+		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", reason))
+	}
+	i.progress.Data = nil
+	i.Body = nil
+	j.results = append(j.results, result)
+}
+
+// attempt sends an item to a server and reads its events.
+func (r *Runner) attempt(ctx context.Context, j *job, i *item, s backend.Server) (int, error) {
+	r.mutex.Lock()
+	q := backend.Request{
+		ID: i.ID, Method: http.MethodPost, Target: i.Target, Host: j.head.Host, Body: i.Body,
+		Header: headerOf(i.Header), Deadline: time.Now().Add(itemDeadline), Workspace: j.head.Workspace,
+		Urgency: itemUrgency, HasUrgency: true, ResumeAfter: i.progress.After,
+	}
+	r.mutex.Unlock()
+	a, err := r.client.Do(ctx, s, q)
+	if err != nil {
+		return 0, err
+	}
+	defer a.Body.Close()
+	if a.Weights > 0 {
+		r.fleet.SawLoaded(s.ID, j.head.Model, a.Weights)
+	}
+	if a.Status != http.StatusOK || a.NotRun {
+		if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard)); err != nil {
+			return a.Status, errors.Wrap(backend.ErrCut, err.Error())
+		}
+		return a.Status, nil
+	}
+	if a.Weights < j.head.MinVersion {
+		return a.Status, errors.Wrapf(errStale, "version %d", a.Weights)
+	}
+	return a.Status, r.receive(j, i, s, a)
+}
+
+// maxDiscard bounds what is read of an answer that is not used, in bytes.
+const maxDiscard = 64 << 10
+
+// receive reads the events of an answer.
+func (r *Runner) receive(j *job, i *item, s backend.Server, a *backend.Response) error {
+	events := sse.NewReader(a.Body)
+	weights := a.Weights
+	for {
+		e, err := events.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(backend.ErrCut, err.Error())
+		}
+		if v, ok := a.NewWeights(e.Fields); ok {
+			weights = v
+			r.fleet.SawLoaded(s.ID, j.head.Model, v)
+		}
+		if err := r.append(i, s, e, weights); err != nil {
+			return err
+		}
+	}
+}
+
+// append adds an event to an item.
+func (r *Runner) append(i *item, s backend.Server, e sse.Event, weights int) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if e.ID != i.progress.After+1 {
+		return errors.Wrapf(backend.ErrCut, "event %d after %d", e.ID, i.progress.After)
+	}
+	now := time.Now()
+	if d, ok := i.lap.event(now); ok {
+		r.paces.saw(s.ID, d)
+	}
+	i.begun, i.progressAt = true, now
+	i.progress.After = e.ID
+	i.progress.Data = append(i.progress.Data, e.Data)
+	i.progress.Weights = union(i.progress.Weights, []int{weights})
+	return nil
+}
+
+// maxAttempts returns how many failed attempts an item may have.
+func (r *Runner) maxAttempts(j *job, i *item) int {
+	if c := r.fleet.Config(); c != nil {
+		if route, ok := c.Route(j.head.Host, path(i.Target)); ok {
+			return route.MaxServers
+		}
+	}
+	return 1
+}
+
+func headerOf(h map[string]string) http.Header {
+	out := make(http.Header, len(h))
+	for k, v := range h {
+		out.Set(k, v)
+	}
+	return out
+}
+
+func path(target string) string {
+	p, _, _ := strings.Cut(target, "?")
+	return p
+}
+
+// rotation spreads the remainder of a server's places.
+func rotation(id string) int {
+	return int(xxhash.Sum64String(id) % (1 << 16))
+}
+
+// pageName names the next page. It is called with the mutex held.
+func (r *Runner) pageName() string {
+	r.pages++
+	return r.self + "-" + strconv.Itoa(r.pages)
+}
--- /dev/null
+++ b/internal/front/batch/runner.go
@@ -0,0 +1,401 @@
+package batch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	// stepInterval is the time between two looks at what may start or move.
+	stepInterval = 50 * time.Millisecond
+	// listInterval is how long results are gathered before they are written.
+	listInterval = 60 * time.Millisecond
+	// markInterval is the time between two checkpoints.
+	markInterval = time.Second
+	// writeTimeout bounds one write of results or checkpoints.
+	writeTimeout = 900 * time.Millisecond
+	// ownerInterval is the time between two looks for items whose daemon died.
+	ownerInterval = 250 * time.Millisecond
+	// keepEnded is how long an ended job's head is kept in memory.
+	keepEnded = 10 * time.Second
+)
+
+// Runner runs the items that belong to this daemon. Use NewRunner.
+type Runner struct {
+	client backend.Client
+	fleet  *fleet.State
+	ledger Ledger
+	log    *zap.Logger
+	self   string
+	wake   chan struct{}
+
+	// mutex guards all below.
+	mutex sync.Mutex
+	jobs  map[string]*job
+	// leaving is set once no item is to be started any more.
+	leaving bool
+	paces   paces
+	// pages counts the pages that this daemon has written.
+	pages int
+	work  sync.WaitGroup
+}
+
+// job is an open job.
+type job struct {
+	head  Head
+	ended bool
+	// endedAt is when the end was noticed.
+	endedAt time.Time
+	// items are those that belong to this daemon, by ID.
+	items map[string]*item
+	// loading holds the parcels whose items are being read.
+	loading map[int]bool
+	// fresh is whether no other daemon can have run items of the job yet.
+	fresh bool
+	// results wait to be written; writing is whether some are being written.
+	results []Result
+	writing bool
+	marking bool
+}
+
+// item is an item that belongs to this daemon.
+type item struct {
+	Item
+
+	progress Progress
+	// marked is the last event that a checkpoint holds.
+	marked    int
+	notBefore time.Time
+	avoid     string
+	// stop ends the run; nil while none runs.
+	stop func()
+	// server runs the item; empty while none does.
+	server     string
+	sentAt     time.Time
+	progressAt time.Time
+	begun      bool
+	// moving is set once the run is stopped to be resumed elsewhere.
+	moving bool
+	// lap measures the server's pace.
+	lap  lap
+	done bool
+}
+
+// NewRunner returns a Runner of the daemon self.
+func NewRunner(f *fleet.State, l Ledger, c backend.Client, self string, log *zap.Logger) *Runner {
+	return &Runner{
+		client: c, fleet: f, ledger: l, log: log, self: self,
+		wake: make(chan struct{}, 1), jobs: make(map[string]*job),
+	}
+}
+
+// Serve runs items until the context ends.
+func (r *Runner) Serve(ctx context.Context) error {
+	go fleet.Follow(ctx, r.fleet, jobTable, r.readJobs, r.take)
+	t := time.NewTicker(stepInterval)
+	defer t.Stop()
+	var ownersAt, marksAt time.Time
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-r.wake:
+		}
+		now := time.Now()
+		if now.Sub(ownersAt) >= ownerInterval {
+			ownersAt = now
+			r.own(ctx)
+		}
+		r.step(ctx, now)
+		if now.Sub(marksAt) >= markInterval {
+			marksAt = now
+			r.markAll(ctx)
+		}
+	}
+	return nil
+}
+
+// Leave stops all items and writes checkpoints, so that other daemons can go on
+// with them, and returns once that is done or the context ends.
+func (r *Runner) Leave(ctx context.Context) {
+	r.mutex.Lock()
+	r.leaving = true
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if i.stop != nil {
+				i.stop()
+			}
+		}
+	}
+	r.mutex.Unlock()
+	r.work.Wait()
+	r.markAll(ctx)
+	r.listAll(ctx)
+	for ctx.Err() == nil && r.unwritten() {
+		fleet.Sleep(ctx, retryInterval)
+		r.listAll(ctx)
+	}
+}
+
+// accepted takes a job that this daemon has written.
+func (r *Runner) accepted(h Head, parcels [][]Item) {
+	r.mutex.Lock()
+	j := r.add(h)
+	for p, items := range parcels {
+		if h.Parcels[p].Member == r.self {
+			j.loading[p] = true
+			j.receive(items, nil, nil)
+		}
+	}
+	r.mutex.Unlock()
+	r.kick()
+}
+
+// add returns a job, new or known. It is called with the mutex held.
+func (r *Runner) add(h Head) *job {
+	j, ok := r.jobs[h.ID]
+	if !ok {
+		j = &job{head: h, items: make(map[string]*item), loading: make(map[int]bool)}
+		now, _ := r.fleet.Clock.Now()
+		j.fresh = now.UnixMilli()-h.SubmittedAt < freshFor.Milliseconds()
+		r.jobs[h.ID] = j
+	}
+	return j
+}
+
+// freshFor is the age up to which a job that is first seen cannot have been run
+// by a daemon that died since.
+const freshFor = time.Second
+
+// ended takes the end of a job.
+func (r *Runner) ended(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	j, ok := r.jobs[id]
+	if !ok || j.ended {
+		return
+	}
+	j.ended, j.endedAt = true, time.Now()
+	stopped := 0
+	for _, i := range j.items {
+		if i.stop != nil {
+			stopped++
+			i.stop()
+		}
+	}
+	j.items = nil
+	r.log.Info("job closed", zap.String("Job", id), zap.Int("Stopped", stopped))
+}
+
+// head returns an open job.
+func (r *Runner) head(id string) (Head, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	j, ok := r.jobs[id]
+	if !ok {
+		return Head{}, false
+	}
+	return j.head, true
+}
+
+// kick has the loop look at once.
+func (r *Runner) kick() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// readJobs reads the rows of all jobs.
+func (r *Runner) readJobs(ctx context.Context) (store.Snapshot, error) {
+	// The version is read first: what changes meanwhile comes by the feed.
+	all, err := r.ledger.Store.Read(ctx, store.Range{Table: jobTable, Limit: 1})
+	if err != nil {
+		return store.Snapshot{}, err
+	}
+	parts, err := r.ledger.Store.Parts(ctx, jobTable)
+	if err != nil {
+		return store.Snapshot{}, err
+	}
+	for _, p := range parts {
+		s, err := r.ledger.Store.Read(ctx, store.Range{Table: jobTable, Part: p})
+		if err != nil {
+			return store.Snapshot{}, err
+		}
+		all.Rows = append(all.Rows, s.Rows...)
+	}
+	return all, nil
+}
+
+// take takes rows of jobs. Heads go first: a reading of all rows names a job's
+// end before its head.
+func (r *Runner) take(rows []store.Row) {
+	for _, row := range rows {
+		if row.Removed || row.Key.Name != headName {
+			continue
+		}
+		h, err := decodeHead(row.Value)
+		if err != nil {
+			r.log.Error("job not readable", zap.String("Job", row.Key.Part), zap.Error(err))
+			continue
+		}
+		r.mutex.Lock()
+		r.add(h)
+		r.mutex.Unlock()
+	}
+	for _, row := range rows {
+		if !row.Removed && row.Key.Name == endName {
+			r.ended(row.Key.Part)
+		}
+	}
+	r.kick()
+}
+
+// step starts, moves and lists what is due.
+func (r *Runner) step(ctx context.Context, now time.Time) {
+	r.mutex.Lock()
+	r.forget(now)
+	r.abandonLate()
+	if !r.leaving {
+		servers := r.servers()
+		r.move(now, servers)
+		for _, p := range schedule.Place(now, r.waiting(), servers) {
+			r.start(ctx, p)
+		}
+	}
+	r.mutex.Unlock()
+	r.listAll(ctx)
+}
+
+// forget drops jobs that ended a while ago.
+func (r *Runner) forget(now time.Time) {
+	for id, j := range r.jobs {
+		if j.ended && now.Sub(j.endedAt) > keepEnded {
+			delete(r.jobs, id)
+		}
+	}
+}
+
+// abandonLate gives up the items of jobs whose time is over.
+func (r *Runner) abandonLate() {
+	now, ok := r.fleet.Clock.Now()
+	if !ok {
+		return
+	}
+	for _, j := range r.jobs {
+		if j.ended || now.UnixMilli() < j.head.GiveUpAt {
+			continue
+		}
+		for _, i := range j.items {
+			if !i.done {
+				r.finish(j, i, Abandoned, "time over")
+			}
+		}
+	}
+}
+
+// servers returns the servers with what room this daemon has on each.
+func (r *Runner) servers() []schedule.Server {
+	members := r.fleet.Members().Staying()
+	rank := slices.IndexFunc(members, func(m fleet.Member) bool { return m.ID == r.self })
+	used := make(map[string]int)
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if i.server != "" {
+				used[i.server]++
+			}
+		}
+	}
+	var out []schedule.Server
+	for _, s := range r.fleet.Servers().List {
+		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
+			continue
+		}
+		quota := schedule.Quota(s.Slots, rank, len(members), rotation(s.ID))
+		out = append(out, schedule.Server{
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Pace: r.paces.pace(s.ID),
+			Version: func(model string) int { return r.fleet.Loaded(s, model) },
+		})
+	}
+	return out
+}
+
+// waiting returns the items that wait.
+func (r *Runner) waiting() []schedule.Work {
+	var out []schedule.Work
+	for _, j := range r.jobs {
+		if j.ended {
+			continue
+		}
+		for _, i := range j.items {
+			if !i.done && i.stop == nil {
+				out = append(out, r.describe(j, i))
+			}
+		}
+	}
+	return out
+}
+
+// describe returns an item as a scheduler sees it.
+func (r *Runner) describe(j *job, i *item) schedule.Work {
+	w := schedule.Work{
+		ID: i.ID, Group: i.Group, Model: j.head.Model, MinVersion: j.head.MinVersion,
+		DueAt: r.local(j.head.DueAt), NotBefore: i.notBefore, Avoid: i.avoid,
+		Remaining: max(minRemaining, expected(i.Tokens, i.Limit)-r.paces.tokens(i.progress.After)),
+	}
+	if c := r.fleet.Config(); c != nil {
+		if route, ok := c.Route(j.head.Host, path(i.Target)); ok {
+			w.Service = route.Service(i.ID)
+		}
+	}
+	return w
+}
+
+// minRemaining is the number of tokens that an item is taken to lack when it
+// has outlasted what was expected.
+const minRemaining = 200
+
+// local converts an instant of the store's clock.
+func (r *Runner) local(ms int64) time.Time {
+	now, ok := r.fleet.Clock.Now()
+	if !ok {
+		return time.Now()
+	}
+	return time.Now().Add(time.UnixMilli(ms).Sub(now))
+}
+
+// minStay is how long an item stays on a server before it may be moved.
+const minStay = 500 * time.Millisecond
+
+// move stops the running items that are better resumed elsewhere.
+func (r *Runner) move(now time.Time, servers []schedule.Server) {
+	var running []schedule.Running
+	find := make(map[string]*item)
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if i.server == "" || i.moving || now.Sub(i.sentAt) < minStay {
+				continue
+			}
+			find[i.ID] = i
+			running = append(running, schedule.Running{
+				Work: r.describe(j, i), Server: i.server, ProgressAt: i.progressAt, Begun: i.begun,
+			})
+		}
+	}
+	for _, m := range schedule.Move(now, running, servers) {
+		i := find[m.Work.ID]
+		i.avoid, i.moving = m.Server, true
+		i.stop()
+		r.log.Info("item moved", zap.String("Item", m.Work.ID), zap.String("From", m.Server),
+			zap.Duration("Silent", now.Sub(m.ProgressAt)), zap.Int("After", i.progress.After))
+	}
+}
--- /dev/null
+++ b/internal/front/batch/service.go
@@ -0,0 +1,227 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	// acceptTimeout bounds one attempt to write a job.
+	acceptTimeout = 900 * time.Millisecond
+	// acceptAttempts bounds the attempts to write a job.
+	acceptAttempts = 3
+	// pollInterval is the time between two looks for new results.
+	pollInterval = 90 * time.Millisecond
+	// retryInterval is the wait after a failed call of the store.
+	retryInterval = 60 * time.Millisecond
+	// endTimeout bounds one attempt to end a job.
+	endTimeout = 900 * time.Millisecond
+	// expectedTokens is taken for items of which the caller says nothing.
+	expectedTokens = 1000
+)
+
+// Service takes calls about batch jobs. Use NewService. Its methods may be
+// called from any goroutine.
+type Service struct {
+	fleet  *fleet.State
+	ledger Ledger
+	log    *zap.Logger
+	runner *Runner
+}
+
+// Answer is part of a job's results.
+type Answer struct {
+	// Total is the number of the job's items.
+	Total   int
+	Results []Result
+	// Next is the position after the last of Results.
+	Next int
+}
+
+// NewService returns a Service whose jobs are run by r among others.
+func NewService(f *fleet.State, l Ledger, r *Runner, log *zap.Logger) *Service {
+	return &Service{fleet: f, ledger: l, log: log, runner: r}
+}
+
+// Submit accepts a job, once. Its errors are ErrNotAccepted and ErrUnknown.
+func (s *Service) Submit(ctx context.Context, j Submission) error {
+	now, ok := s.fleet.Clock.Now()
+	if !ok {
+		return errors.Wrap(ErrNotAccepted, "store not reached yet")
+	}
+	h, parcels := split(j, now, s.fleet.Members().Staying())
+	sent := false
+	for range acceptAttempts {
+		c, cancel := context.WithTimeout(ctx, acceptTimeout)
+		err := s.ledger.accept(c, h, parcels)
+		cancel()
+		switch {
+		case err == nil:
+			s.log.Info("job accepted", zap.String("Job", j.ID), zap.String("Workspace", j.Workspace),
+				zap.Int("Step", j.Step), zap.Int("MinVersion", j.MinVersion), zap.Int("Items", len(j.Items)))
+			s.runner.accepted(h, parcels)
+			return nil
+		case errors.Is(err, store.ErrConflict):
+			s.log.Info("job known already", zap.String("Job", j.ID))
+			return nil
+		case errors.Is(err, store.ErrUnknown):
+			sent = true
+		case !errors.Is(err, store.ErrUnavailable):
+			s.log.Error("job not written", zap.String("Job", j.ID), zap.Error(err))
+			return errors.Wrap(ErrNotAccepted, err.Error())
+		}
+		s.log.Warn("job not written yet", zap.String("Job", j.ID), zap.Error(err))
+		fleet.Sleep(ctx, retryInterval)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if sent {
+		return ErrUnknown
+	}
+	return ErrNotAccepted
+}
+
+// Results returns the results from a position on, and waits up to wait for the
+// first. Its errors are ErrNotFound and ErrUnavailable.
+func (s *Service) Results(ctx context.Context, workspace, id string, after int, wait time.Duration) (Answer, error) {
+	h, err := s.head(ctx, workspace, id)
+	if err != nil {
+		return Answer{}, err
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		pages, err := s.ledger.pages(ctx, id)
+		if err != nil {
+			return Answer{}, errors.Wrap(ErrUnavailable, err.Error())
+		}
+		found, total := locate(pages, after)
+		if len(found) > 0 {
+			return s.answer(ctx, h, after, found)
+		}
+		if total >= len(h.Items) || !time.Now().Before(deadline) || ctx.Err() != nil {
+			return Answer{Total: len(h.Items), Next: after}, nil
+		}
+		fleet.Sleep(ctx, pollInterval)
+	}
+}
+
+// Body returns the body of an item. Its errors are ErrNotFound and
+// ErrUnavailable.
+func (s *Service) Body(ctx context.Context, workspace, id, item string) ([]byte, error) {
+	h, err := s.head(ctx, workspace, id)
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range h.Items {
+		if i.ID != item {
+			continue
+		}
+		items, err := s.ledger.bodies(ctx, id, i.Parcel)
+		if err != nil {
+			return nil, errors.Wrap(ErrUnavailable, err.Error())
+		}
+		for _, b := range items {
+			if b.ID == item {
+				return b.Body, nil
+			}
+		}
+		return nil, errors.Wrap(ErrUnavailable, "bodies incomplete")
+	}
+	return nil, ErrNotFound
+}
+
+// End ends a job. Its errors are ErrNotFound and ErrUnavailable.
+func (s *Service) End(ctx context.Context, workspace, id string) error {
+	if _, err := s.head(ctx, workspace, id); err != nil {
+		return err
+	}
+	c, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	if err := s.ledger.end(c, id); err != nil {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	s.log.Info("job ended", zap.String("Job", id), zap.String("Workspace", workspace))
+	s.runner.ended(id)
+	return nil
+}
+
+func (s *Service) answer(ctx context.Context, h Head, after int, found []slice) (Answer, error) {
+	results, err := s.ledger.results(ctx, h.ID, found)
+	if err != nil {
+		return Answer{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return Answer{Total: len(h.Items), Results: results, Next: after + len(results)}, nil
+}
+
+// head returns a job of a workspace.
+func (s *Service) head(ctx context.Context, workspace, id string) (Head, error) {
+	h, ok := s.runner.head(id)
+	if !ok {
+		var err error
+		h, err = s.ledger.head(ctx, id)
+		if errors.Is(err, ErrNotFound) {
+			return Head{}, err
+		}
+		if err != nil {
+			return Head{}, errors.Wrap(ErrUnavailable, err.Error())
+		}
+	}
+	if h.Workspace != workspace {
+		return Head{}, ErrNotFound
+	}
+	return h, nil
+}
+
+// split gives each item of a job to a daemon.
+func split(j Submission, now time.Time, members []fleet.Member) (Head, [][]Item) {
+	h := Head{
+		ID: j.ID, Workspace: j.Workspace, Host: j.Host, Model: j.Model, Step: j.Step,
+		MinVersion: j.MinVersion, Desired: j.Desired, SubmittedAt: now.UnixMilli(),
+		DueAt: now.Add(j.DueAfter).UnixMilli(), GiveUpAt: now.Add(j.GiveUpAfter).UnixMilli(),
+	}
+	if len(members) == 0 {
+		members = []fleet.Member{{Share: 1}}
+	}
+	lengths := make([]int, len(j.Items))
+	for i, t := range j.Items {
+		lengths[i] = expected(t.Tokens, t.Limit)
+	}
+	weights := make([]float64, len(members))
+	for i, m := range members {
+		weights[i] = max(m.Share, minShare)
+	}
+	parcels := make([][]Item, len(members))
+	for i, d := range schedule.Share(lengths, weights) {
+		t := j.Items[i]
+		h.Items = append(h.Items, ItemHead{ID: t.ID, Group: t.Group, Tokens: t.Tokens, Limit: t.Limit, Parcel: d})
+		parcels[d] = append(parcels[d], t)
+	}
+	for _, m := range members {
+		h.Parcels = append(h.Parcels, Parcel{Member: m.ID})
+	}
+	return h, parcels
+}
+
+// minShare is the part of a core that a daemon is taken to have at least.
+const minShare = 0.01
+
+// expected returns the number of tokens that an item is expected to make.
+func expected(tokens, limit int) int {
+	switch {
+	case tokens > 0 && limit > 0:
+		return min(tokens, limit)
+	case tokens > 0:
+		return tokens
+	case limit > 0:
+		return min(limit, expectedTokens)
+	}
+	return expectedTokens
+}
--- /dev/null
+++ b/internal/front/batch/take_test.go
@@ -0,0 +1,30 @@
+package batch
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+// TestEndReadBeforeHeadKeepsTheJobReadable replays a reading of all rows, which
+// come in order of their names: the end of a job before its head.
+func TestEndReadBeforeHeadKeepsTheJobReadable(t *testing.T) {
+	h := Head{ID: "j", Workspace: "w"}
+	b, err := msgpack.Marshal(&h)
+	must.NoError(t, err)
+	m := &store.Memory{}
+	r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, "self", zap.NewNop())
+	r.take([]store.Row{
+		{Key: store.Key{Table: jobTable, Part: "j", Name: endName}, Value: []byte{1}},
+		{Key: store.Key{Table: jobTable, Part: "j", Name: headName}, Value: b},
+	})
+	got, ok := r.head("j")
+	must.True(t, ok)
+	must.Eq(t, "w", got.Workspace)
+	must.True(t, r.jobs["j"].ended)
+}
--- /dev/null
+++ b/internal/front/daemon/daemon.go
@@ -0,0 +1,207 @@
+// Package daemon puts the parts of a daemon on the platform's VMs together,
+// runs them and stops them in order.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/thejerf/suture/v4"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/batch"
+	"github.com/lacewingtally/lacewingtally/internal/front/duty"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/forward"
+	"github.com/lacewingtally/lacewingtally/internal/front/settings"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	// balancerDelay is how long the balancer may take to see that a daemon is
+	// no longer ready: two questions, a second apart, and some slack.
+	balancerDelay = 2300 * time.Millisecond
+	// handOverTime bounds the handing over of items to other daemons.
+	handOverTime = 1500 * time.Millisecond
+	// lastWrites is kept of the grace for the last writes to the store.
+	lastWrites = time.Second
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout ends connections of callers that are not used.
+	idleTimeout = 60 * time.Second
+	// maxHeader bounds a request's head, in bytes.
+	maxHeader = 64 << 10
+	// memoryPart is the part of the memory at which the collector works harder.
+	memoryPart = 0.7
+	megabyte   = 1 << 20
+)
+
+// Parts are what speaks to the platform. All are set.
+type Parts struct {
+	Codec    fleet.Codec
+	Store    store.Store
+	Servers  backend.Client
+	Reporter duty.Reporter
+	// Callers returns the handler of callers' requests.
+	Callers func(*forward.Forwarder, *batch.Service, func() bool) http.Handler
+	// Ready returns the handler of the balancer's questions.
+	Ready func(func() bool) http.Handler
+}
+
+// daemon is a running daemon.
+type daemon struct {
+	settings settings.Settings
+	parts    Parts
+	log      *zap.Logger
+	self     string
+
+	fleet     *fleet.State
+	runner    *batch.Runner
+	keeper    *duty.Keeper
+	weights   *duty.Weights
+	meter     *duty.Meter
+	usage     *duty.Usage
+	forwarder *forward.Forwarder
+	jobs      *batch.Service
+	leaving   atomic.Bool
+}
+
+// Run runs a daemon until the context ends and it has handed its work over.
+func Run(ctx context.Context, s settings.Settings, p Parts, log *zap.Logger) error {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryPart * float64(s.MemoryMB*megabyte)))
+	}
+	d := build(s, p, log)
+	d.log.Info("daemon started", zap.String("Machine", s.Machine), zap.String("Domain", s.Domain), zap.String("Member", d.self))
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := listen(work, s.Listen.Callers, p.Callers(d.forwarder, d.jobs, d.leaving.Load), log)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(work, s.Listen.Ready, p.Ready(d.ready), log)
+	if err != nil {
+		return err
+	}
+	tree := d.tree()
+	done := tree.ServeBackground(work)
+	<-ctx.Done()
+	d.leave(callers)
+	stop()
+	<-done
+	if err := ready.Close(); err != nil {
+		d.log.Info("listener not closed", zap.Error(err))
+	}
+	d.log.Info("daemon stopped")
+	return nil
+}
+
+func build(s settings.Settings, p Parts, log *zap.Logger) *daemon {
+	self := s.Machine + "/" + uuid.NewString()[:8]
+	d := &daemon{settings: s, parts: p, log: log, self: self}
+	d.fleet = fleet.New(p.Store, p.Codec, log)
+	ledger := batch.Ledger{Store: p.Store}
+	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, self, log)
+	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
+	d.keeper = duty.NewKeeper(d.fleet, p.Store, self, s.Machine, s.Bounds.LeaseTerm, log)
+	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, self, log)
+	d.meter = duty.NewMeter(p.Store, self, s.Bounds.UsageWindow, log)
+	d.usage = duty.NewUsage(d.fleet, p.Store, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
+	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, s.Domain, log)
+	return d
+}
+
+// tree returns the supervisor of all that runs in the background.
+func (d *daemon) tree() *suture.Supervisor {
+	t := suture.New("daemon", suture.Spec{EventHook: func(e suture.Event) {
+		d.log.Error("part restarted", zap.String("Event", e.String()))
+	}})
+	t.Add(service{"Operator", d.fleet.ServeOperator})
+	t.Add(service{"Servers", d.fleet.ServeServers})
+	t.Add(service{"Members", func(ctx context.Context) error { return d.fleet.ServeMembers(ctx, d.member) }})
+	t.Add(service{"Runner", d.runner.Serve})
+	t.Add(service{"Keeper", d.keeper.Serve})
+	t.Add(service{"Weights", d.weights.Serve})
+	t.Add(service{"Meter", d.meter.Serve})
+	t.Add(service{"Usage", d.usage.Serve})
+	return t
+}
+
+// member describes the daemon to its peers.
+func (d *daemon) member() fleet.Member {
+	return fleet.Member{
+		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
+		Address: netip.AddrPortFrom(d.settings.Listen.Address, d.settings.Listen.Peers),
+		Share:   d.settings.CoreShare, Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(),
+	}
+}
+
+// ready reports whether the daemon should get new connections.
+func (d *daemon) ready() bool {
+	return !d.leaving.Load() && d.fleet.Config() != nil && d.fleet.Reachable()
+}
+
+// leave hands all work over and lets running requests finish.
+func (d *daemon) leave(callers *http.Server) {
+	begun := time.Now()
+	d.leaving.Store(true)
+	d.log.Info("daemon leaving")
+	end := begun.Add(d.settings.Bounds.Grace - lastWrites)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	handOver, cancelHandOver := context.WithTimeout(ctx, handOverTime)
+	defer cancelHandOver()
+	d.keeper.Release(handOver)
+	d.runner.Leave(handOver)
+	if err := d.fleet.Heartbeat(handOver, d.member()); err != nil {
+		d.log.Warn("leaving not announced", zap.Error(err))
+	}
+	fleet.Sleep(ctx, balancerDelay-time.Since(begun))
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn("requests cut", zap.Error(err))
+	}
+	d.meter.Flush(context.Background())
+}
+
+// service is a named part of the supervisor tree.
+type service struct {
+	name  string
+	serve func(context.Context) error
+}
+
+// Serve implements suture.Service.
+func (s service) Serve(ctx context.Context) error {
+	return s.serve(ctx)
+}
+
+// String names the part in log lines.
+func (s service) String() string {
+	return s.name
+}
+
+// listen serves a handler at an address.
+func listen(ctx context.Context, at netip.AddrPort, h http.Handler, log *zap.Logger) (*http.Server, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", at.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: listen")
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: zap.NewStdLog(log),
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("listener failed", zap.Stringer("Address", at), zap.Error(err))
+		}
+	}()
+	return s, nil
+}
--- /dev/null
+++ b/internal/front/duty/usage.go
@@ -0,0 +1,241 @@
+package duty
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	usageTable = "usage"
+	// sealTable holds the figures of each window, written once. Only these are
+	// reported.
+	sealTable = "sealed"
+	// usageInterval is the time between two writes of a daemon's counts.
+	usageInterval = 800 * time.Millisecond
+	// sealAfter is how long after a window's end its figures are added up.
+	sealAfter = 3 * time.Second
+	// reportInterval is the time between two looks at what is to be reported.
+	reportInterval = 500 * time.Millisecond
+	// keepWindows is the number of windows whose counts a daemon keeps.
+	keepWindows = 6
+	// usageTimeout bounds one call about usage.
+	usageTimeout = 600 * time.Millisecond
+)
+
+// Counts are requests by workspace.
+type Counts map[string]int
+
+// Reporter sends reports to the platform.
+type Reporter interface {
+	// Usage reports a window. It may be called again with the same counts.
+	Usage(ctx context.Context, holder string, fence int64, window int64, c Counts) error
+}
+
+// Meter counts the requests that servers began, by window. Use NewMeter. Its
+// methods may be called from any goroutine.
+type Meter struct {
+	length time.Duration
+	log    *zap.Logger
+	self   string
+	store  store.Store
+
+	mutex   sync.Mutex
+	windows map[int64]Counts
+	changed bool
+}
+
+// NewMeter returns a Meter for windows of a length.
+func NewMeter(s store.Store, self string, length time.Duration, log *zap.Logger) *Meter {
+	return &Meter{length: length, log: log, self: self, store: s, windows: make(map[int64]Counts)}
+}
+
+// Count adds a request.
+func (m *Meter) Count(workspace string, at time.Time) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	w := windowAt(at, m.length)
+	if m.windows[w] == nil {
+		m.windows[w] = make(Counts)
+	}
+	m.windows[w][workspace]++
+	m.changed = true
+}
+
+// Serve writes the counts until the context ends.
+func (m *Meter) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		fleet.Sleep(ctx, usageInterval)
+		m.Flush(ctx)
+	}
+	return nil
+}
+
+// Flush writes the counts if they have changed.
+func (m *Meter) Flush(ctx context.Context) {
+	b, err := m.encode()
+	if err != nil || b == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Row{{Key: store.Key{Table: usageTable, Name: m.self}, Value: b}}})
+	if err != nil {
+		m.log.Info("usage not written yet", zap.Error(err))
+		m.mutex.Lock()
+		m.changed = true
+		m.mutex.Unlock()
+	}
+}
+
+// encode returns the counts of the newest windows, or nothing if none changed.
+func (m *Meter) encode() ([]byte, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if !m.changed {
+		return nil, nil
+	}
+	m.changed = false
+	oldest := windowAt(time.Now(), m.length) - keepWindows
+	for w := range m.windows {
+		if w < oldest {
+			delete(m.windows, w)
+		}
+	}
+	b, err := msgpack.Marshal(m.windows)
+	return b, errors.Wrap(err, "duty: usage")
+}
+
+// Usage reports the use of each window, while this daemon holds the duty. Use
+// NewUsage.
+type Usage struct {
+	fleet    *fleet.State
+	holder   Holder
+	length   time.Duration
+	late     time.Duration
+	log      *zap.Logger
+	reporter Reporter
+	self     string
+	store    store.Store
+	// next is the first window that is not reported; 0 is not known.
+	next int64
+}
+
+// NewUsage returns a Usage for windows of a length that are due late after
+// their ends.
+func NewUsage(f *fleet.State, s store.Store, r Reporter, h Holder, self string, length, late time.Duration, log *zap.Logger) *Usage {
+	return &Usage{fleet: f, holder: h, length: length, late: late, log: log, reporter: r, self: self, store: s}
+}
+
+// Serve reports until the context ends.
+func (u *Usage) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		fleet.Sleep(ctx, reportInterval)
+		if _, err := u.holder.Check(); err != nil {
+			u.next = 0
+			continue
+		}
+		if err := u.step(ctx); err != nil {
+			u.log.Info("usage not reported yet", zap.Int64("Window", u.next), zap.Error(err))
+		}
+	}
+	return nil
+}
+
+// step reports the oldest window that is over and not reported.
+func (u *Usage) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
+	defer cancel()
+	now := time.Now()
+	if u.next == 0 {
+		next, err := u.resume(ctx, now)
+		if err != nil {
+			return err
+		}
+		u.next = next
+	}
+	for {
+		end := time.Unix(0, 0).Add(time.Duration(u.next+1) * u.length)
+		if now.Sub(end) < sealAfter {
+			return nil
+		}
+		counts, err := u.seal(ctx, u.next)
+		if err != nil {
+			return err
+		}
+		fence, err := u.holder.Check()
+		if err != nil {
+			return err
+		}
+		if err := u.reporter.Usage(ctx, u.self, fence, u.next, counts); err != nil {
+			return err
+		}
+		u.log.Info("usage reported", zap.Int64("Window", u.next), zap.Int("Workspaces", len(counts)), zap.Int64("Fence", fence))
+		u.next++
+	}
+}
+
+// resume returns the first window to report. The newest sealed one is reported
+// again, for its report may not have arrived.
+func (u *Usage) resume(ctx context.Context, now time.Time) (int64, error) {
+	oldest := windowAt(now.Add(-u.late), u.length)
+	s, err := u.store.Read(ctx, store.Range{Table: sealTable, From: strconv.FormatInt(oldest, 10)})
+	if err != nil {
+		return 0, err
+	}
+	if len(s.Rows) == 0 {
+		return oldest, nil
+	}
+	last, err := strconv.ParseInt(s.Rows[len(s.Rows)-1].Key.Name, 10, 64)
+	return last, errors.Wrap(err, "duty: window")
+}
+
+// seal returns the figures of a window, and writes them if no daemon has yet.
+func (u *Usage) seal(ctx context.Context, window int64) (Counts, error) {
+	counts, err := u.add(ctx, window)
+	if err != nil {
+		return nil, err
+	}
+	b, err := msgpack.Marshal(counts)
+	if err != nil {
+		return nil, errors.Wrap(err, "duty: seal")
+	}
+	key := store.Key{Table: sealTable, Name: strconv.FormatInt(window, 10)}
+	s, err := u.store.Commit(ctx, store.Txn{Conditions: []store.Row{{Key: key}}, Puts: []store.Row{{Key: key, Value: b}}})
+	if !errors.Is(err, store.ErrConflict) || len(s.Rows) == 0 {
+		return counts, err
+	}
+	var sealed Counts
+	return sealed, errors.Wrap(msgpack.Unmarshal(s.Rows[0].Value, &sealed), "duty: seal")
+}
+
+// add adds up the counts of all daemons for a window.
+func (u *Usage) add(ctx context.Context, window int64) (Counts, error) {
+	s, err := store.ReadAll(ctx, u.store, store.Range{Table: usageTable})
+	if err != nil {
+		return nil, err
+	}
+	sum := make(Counts)
+	for _, r := range s.Rows {
+		var windows map[int64]Counts
+		if err := msgpack.Unmarshal(r.Value, &windows); err != nil {
+			return nil, errors.Wrapf(err, "duty: counts of %s", r.Key.Name)
+		}
+		for w, n := range windows[window] {
+			sum[w] += n
+		}
+	}
+	return sum, nil
+}
+
+func windowAt(t time.Time, length time.Duration) int64 {
+	return t.UnixNano() / int64(length)
+}
--- /dev/null
+++ b/internal/front/duty/weights.go
@@ -0,0 +1,209 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/wave"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+)
+
+const (
+	// weightsInterval is the time between two looks at what is to be loaded.
+	weightsInterval = 100 * time.Millisecond
+	// orderTimeout bounds one order. The margin of a tenure covers it.
+	orderTimeout = 500 * time.Millisecond
+	// loadTime is how long a load takes at least; a server is asked after it.
+	loadTime = 800 * time.Millisecond
+	// askInterval is the time between two questions to a server that loads.
+	askInterval = 250 * time.Millisecond
+	// loadTimeout is when an order without effect counts as lost.
+	loadTimeout = 5 * time.Second
+	// refusedWait is how long a server that refused an order gets no other.
+	refusedWait = 500 * time.Millisecond
+)
+
+// Weights orders servers to load the weights that the operators name. Use
+// NewWeights.
+type Weights struct {
+	client backend.Client
+	fleet  *fleet.State
+	holder Holder
+	self   string
+	log    *zap.Logger
+
+	mutex sync.Mutex
+	// loads are the orders that are being carried out, or may be, by server.
+	loads map[string]*load
+	// loaded holds the versions that finished loads brought, by server and
+	// model.
+	loaded map[string]map[string]int
+}
+
+// load is an order to a server.
+type load struct {
+	model   string
+	version int
+	orderAt time.Time
+	askAt   time.Time
+	// expected is the number of orders that the server had accepted before.
+	expected int
+	// refused is set while the server is left alone after a refusal.
+	refused bool
+}
+
+// NewWeights returns Weights that act while h holds.
+func NewWeights(f *fleet.State, c backend.Client, h Holder, self string, log *zap.Logger) *Weights {
+	return &Weights{
+		client: c, fleet: f, holder: h, self: self, log: log,
+		loads: make(map[string]*load), loaded: make(map[string]map[string]int),
+	}
+}
+
+// Loaded returns the versions that finished loads brought lately.
+func (w *Weights) Loaded() map[string]map[string]int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	out := make(map[string]map[string]int, len(w.loaded))
+	for id, models := range w.loaded {
+		out[id] = make(map[string]int, len(models))
+		for m, v := range models {
+			out[id][m] = v
+		}
+	}
+	return out
+}
+
+// Serve gives orders until the context ends.
+func (w *Weights) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		fleet.Sleep(ctx, weightsInterval)
+		if _, err := w.holder.Check(); err != nil {
+			w.clear()
+			continue
+		}
+		w.step(ctx)
+	}
+	return nil
+}
+
+func (w *Weights) clear() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	clear(w.loads)
+	clear(w.loaded)
+}
+
+// step gives the orders that are due, and asks servers that load.
+func (w *Weights) step(ctx context.Context) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	now := time.Now()
+	w.settle(ctx, now)
+	for model, named := range w.fleet.Versions() {
+		var candidates []wave.Server
+		servers := w.fleet.Servers()
+		for _, s := range servers.List {
+			if _, has := s.Weights[model]; !has || s.Draining {
+				continue
+			}
+			candidates = append(candidates, wave.Server{ID: s.ID, Version: w.fleet.Loaded(s, model), Loading: w.loads[s.ID] != nil})
+		}
+		for _, id := range wave.Pick(candidates, named) {
+			if s, ok := servers.Get(id); ok {
+				w.order(ctx, s, model, named, now)
+			}
+		}
+	}
+}
+
+// order sends an order in the background.
+func (w *Weights) order(ctx context.Context, s backend.Server, model string, version int, now time.Time) {
+	l := &load{model: model, version: version, orderAt: now, askAt: now.Add(loadTime), expected: s.Orders}
+	w.loads[s.ID] = l
+	go w.give(ctx, s, l)
+}
+
+func (w *Weights) give(ctx context.Context, s backend.Server, l *load) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	status, err := w.client.Ask(ctx, s)
+	if err != nil {
+		w.gave(s, l, backend.Refused, err)
+		return
+	}
+	l.expected = status.Orders
+	fence, err := w.holder.Check()
+	if err != nil {
+		w.gave(s, l, backend.Refused, err)
+		return
+	}
+	o, err := w.client.Give(ctx, s, backend.Order{
+		Model: l.model, Version: l.version, Holder: w.self, Fence: fence, Expected: l.expected,
+	})
+	w.gave(s, l, o, err)
+}
+
+// gave takes the answer to an order. One without an answer may still be carried
+// out: it counts as a load until its time is over.
+func (w *Weights) gave(s backend.Server, l *load, o backend.Outcome, err error) {
+	w.log.Info("order to load weights", zap.String("Server", s.ID), zap.String("Model", l.model), zap.Int("Version", l.version),
+		zap.Int("Expected", l.expected), zap.Uint8("Outcome", uint8(o)), zap.Error(err))
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case err == nil && o == backend.Holds:
+		w.finished(s.ID, l)
+	case err == nil && o == backend.Refused:
+		l.refused = true
+		l.orderAt = time.Now().Add(refusedWait - loadTimeout)
+	}
+}
+
+// settle looks at the orders that are out. It is called with the mutex held.
+func (w *Weights) settle(ctx context.Context, now time.Time) {
+	for id, l := range w.loads {
+		s, ok := w.fleet.Servers().Get(id)
+		switch {
+		case !ok || now.Sub(l.orderAt) > loadTimeout:
+			delete(w.loads, id)
+		case w.fleet.Loaded(s, l.model) >= l.version:
+			w.finished(id, l)
+		case !l.refused && now.After(l.askAt):
+			l.askAt = now.Add(askInterval)
+			go w.ask(ctx, s, l)
+		}
+	}
+}
+
+// ask asks a server whether it has loaded.
+func (w *Weights) ask(ctx context.Context, s backend.Server, l *load) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	status, err := w.client.Ask(ctx, s)
+	if err != nil {
+		w.log.Info("server not asked", zap.String("Server", s.ID), zap.Error(err))
+		return
+	}
+	if status.Weights[l.model] >= l.version && !status.Busy {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		w.finished(s.ID, l)
+	}
+}
+
+// finished takes the end of a load. It is called with the mutex held.
+func (w *Weights) finished(id string, l *load) {
+	if w.loads[id] == l {
+		delete(w.loads, id)
+	}
+	if w.loaded[id] == nil {
+		w.loaded[id] = make(map[string]int)
+	}
+	w.loaded[id][l.model] = max(w.loaded[id][l.model], l.version)
+	w.fleet.SawLoaded(id, l.model, l.version)
+}
--- /dev/null
+++ b/internal/front/fleet/members.go
@@ -0,0 +1,245 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	memberTable = "members"
+	// heartbeatInterval is the time between two heartbeats of a daemon, and
+	// between two reads of all.
+	heartbeatInterval = 500 * time.Millisecond
+	// aliveFor is how long a daemon counts as alive after its last heartbeat
+	// was seen.
+	aliveFor = 1700 * time.Millisecond
+	// forgetAfter is how long the row of a dead daemon is kept.
+	forgetAfter = 30 * time.Second
+)
+
+// Member is a daemon as it describes itself.
+type Member struct {
+	// ID is unique for one run of a daemon.
+	ID      string
+	Machine string
+	Domain  string
+	Address netip.AddrPort
+	// Share is the part of a core that the daemon has.
+	Share float64
+	// Leaving is set once the daemon shuts down.
+	Leaving bool
+	// Loaded are the versions of weights that the daemon has seen servers
+	// finish loading, while it gives the orders.
+	Loaded map[string]map[string]int
+}
+
+// Members is an immutable list of the daemons that are alive, in order of their
+// IDs.
+type Members struct {
+	List []Member
+}
+
+// Has reports whether a daemon is alive and stays.
+func (m *Members) Has(id string) bool {
+	return slices.ContainsFunc(m.List, func(o Member) bool { return o.ID == id && !o.Leaving })
+}
+
+// Pick returns the daemon to do some work, the same one whichever daemon asks;
+// when it dies, only its own work moves. It is empty if no daemon stays.
+func (m *Members) Pick(work string) string {
+	best, bestScore := "", uint64(0)
+	for _, o := range m.List {
+		if o.Leaving {
+			continue
+		}
+		if score := xxhash.Sum64String(work + "\x00" + o.ID); best == "" || score > bestScore {
+			best, bestScore = o.ID, score
+		}
+	}
+	return best
+}
+
+// Staying returns the daemons that do not shut down.
+func (m *Members) Staying() []Member {
+	var out []Member
+	for _, o := range m.List {
+		if !o.Leaving {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Members returns the daemons that are alive.
+func (f *State) Members() *Members {
+	return f.members.Load()
+}
+
+// ServeMembers writes the daemon's own heartbeat and reads all others until the
+// context ends. Self is asked before each heartbeat.
+func (f *State) ServeMembers(ctx context.Context, self func() Member) error {
+	r := roster{self: self().ID}
+	for ctx.Err() == nil {
+		if err := f.Heartbeat(ctx, self()); err != nil {
+			f.failed(memberTable, err)
+		}
+		f.readMembers(ctx, &r)
+		Sleep(ctx, heartbeatInterval)
+	}
+	return nil
+}
+
+// Heartbeat writes the daemon's own row.
+func (f *State) Heartbeat(ctx context.Context, m Member) error {
+	b, err := msgpack.Marshal(&m)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := Uptime()
+	s, err := f.store.Commit(ctx, store.Txn{Puts: []store.Row{{Key: store.Key{Table: memberTable, Name: m.ID}, Value: b}}})
+	if err == nil {
+		f.answered(s, sentAt)
+	}
+	return err
+}
+
+func (f *State) readMembers(ctx context.Context, r *roster) {
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sentAt := Uptime()
+	s, err := store.ReadAll(c, f.store, store.Range{Table: memberTable})
+	if err != nil {
+		f.failed(memberTable, err)
+		return
+	}
+	f.answered(s, sentAt)
+	for _, id := range r.take(s.Rows, sentAt) {
+		f.log.Info("daemon no longer alive", zap.String("Member", id))
+	}
+	m := r.alive()
+	for _, o := range m.List {
+		for server, models := range o.Loaded {
+			for model, v := range models {
+				f.SawLoaded(server, model, v)
+			}
+		}
+	}
+	f.members.Store(m)
+	f.forget(ctx, r)
+}
+
+// forget removes the rows of daemons that died long ago. One daemon does so.
+func (f *State) forget(ctx context.Context, r *roster) {
+	old := r.forgotten()
+	if len(old) == 0 || f.Members().Pick(memberTable) != r.self {
+		return
+	}
+	var t store.Txn
+	for _, id := range old {
+		t.Removes = append(t.Removes, store.Key{Table: memberTable, Name: id})
+	}
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := f.store.Commit(c, t); err != nil {
+		f.log.Info("rows of dead daemons not removed", zap.Error(err))
+	}
+}
+
+// roster decides which daemons are alive, from successive reads of their rows.
+// The zero value has seen none.
+type roster struct {
+	self string
+	seen map[string]*sighting
+	// readAt is the uptime of the last read.
+	readAt time.Duration
+}
+
+// sighting is what is known of one daemon.
+type sighting struct {
+	member  Member
+	version int64
+	// age is the time that the row stayed the same while reads succeeded.
+	age  time.Duration
+	dead bool
+}
+
+// take takes all rows of a read that was sent at an uptime, and returns the
+// daemons that count as dead from now on. Time during which no read succeeded
+// ages nobody: the others could not write either.
+func (r *roster) take(rows []store.Row, sentAt time.Duration) []string {
+	step := min(sentAt-r.readAt, 2*heartbeatInterval)
+	if r.seen == nil {
+		r.seen, step = make(map[string]*sighting), 0
+	}
+	r.readAt = sentAt
+	present := make(map[string]bool, len(rows))
+	var died []string
+	for _, row := range rows {
+		id := row.Key.Name
+		present[id] = true
+		g := r.seen[id]
+		if g == nil {
+			g = &sighting{}
+			r.seen[id] = g
+		}
+		if row.Version != g.version {
+			var m Member
+			if err := msgpack.Unmarshal(row.Value, &m); err != nil {
+				continue
+			}
+			g.member, g.version, g.age, g.dead = m, row.Version, 0, false
+			continue
+		}
+		g.age += step
+		if g.age >= aliveFor && !g.dead {
+			g.dead = true
+			died = append(died, id)
+		}
+	}
+	for id := range r.seen {
+		if !present[id] {
+			delete(r.seen, id)
+		}
+	}
+	return died
+}
+
+// alive returns the daemons that count as alive: of each machine only the one
+// that wrote last.
+func (r *roster) alive() *Members {
+	newest := make(map[string]*sighting)
+	for _, g := range r.seen {
+		if o := newest[g.member.Machine]; o == nil || g.version > o.version {
+			newest[g.member.Machine] = g
+		}
+	}
+	m := &Members{}
+	for _, g := range newest {
+		if !g.dead {
+			m.List = append(m.List, g.member)
+		}
+	}
+	slices.SortFunc(m.List, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	return m
+}
+
+func (r *roster) forgotten() []string {
+	var ids []string
+	for id, g := range r.seen {
+		if g.age >= forgetAfter {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/front/fleet/servers.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+const (
+	// serverInterval is the time between two reads of the servers.
+	serverInterval = 300 * time.Millisecond
+	// lapseGrace is how long a server whose row is missing is kept after the
+	// store was away: rows that lapsed meanwhile are written again within it.
+	lapseGrace = 2200 * time.Millisecond
+	// outage is the time without a read after which rows may have lapsed.
+	outage = 1200 * time.Millisecond
+)
+
+// Servers is an immutable list of the servers that may be used.
+type Servers struct {
+	List []backend.Server
+	byID map[string]int
+}
+
+// Get returns a server by its ID.
+func (s *Servers) Get(id string) (backend.Server, bool) {
+	i, ok := s.byID[id]
+	if !ok {
+		return backend.Server{}, false
+	}
+	return s.List[i], true
+}
+
+// Servers returns the servers, draining ones among them.
+func (f *State) Servers() *Servers {
+	return f.servers.Load()
+}
+
+// Loaded returns the version of a model's weights that a server runs, by its
+// row and by what was seen since.
+func (f *State) Loaded(s backend.Server, model string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return max(s.Weights[model], f.loaded[s.ID][model])
+}
+
+// SawLoaded takes the version that a server was seen to run.
+func (f *State) SawLoaded(id, model string, version int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.loaded[id] == nil {
+		f.loaded[id] = make(map[string]int)
+	}
+	f.loaded[id][model] = max(f.loaded[id][model], version)
+}
+
+// ServeServers reads the servers until the context ends.
+func (f *State) ServeServers(ctx context.Context) error {
+	var d directory
+	for ctx.Err() == nil {
+		f.readServers(ctx, &d)
+		Sleep(ctx, serverInterval)
+	}
+	return nil
+}
+
+func (f *State) readServers(ctx context.Context, d *directory) {
+	sentAt := Uptime()
+	c, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s, err := store.ReadAll(c, f.store, store.Range{Table: f.codec.ServerTable})
+	if err != nil {
+		f.failed(f.codec.ServerTable, err)
+		return
+	}
+	f.answered(s, sentAt)
+	now := time.Now()
+	var read []backend.Server
+	for _, r := range s.Rows {
+		v, err := f.codec.Server(r.Key.Name, r.Value, now)
+		if err != nil {
+			if d.strange(r.Key.Name, r.Version) {
+				f.log.Warn("server row ignored", zap.String("Server", r.Key.Name), zap.Error(err))
+			}
+			continue
+		}
+		read = append(read, v)
+	}
+	for _, change := range d.take(read, sentAt) {
+		f.log.Info("server "+change.what, zap.String("Server", change.server.ID), zap.String("Service", change.server.Service))
+	}
+	f.servers.Store(d.snapshot())
+}
+
+// directory decides which servers may be used, from successive reads of their
+// rows. The zero value has seen none.
+type directory struct {
+	servers map[string]backend.Server
+	// readAt is the uptime of the last read.
+	readAt time.Duration
+	// graceUntil is the uptime until which missing servers are kept.
+	graceUntil time.Duration
+	// ignored holds the versions of rows that are no server's.
+	ignored map[string]int64
+}
+
+// change is what a read brought.
+type change struct {
+	what   string
+	server backend.Server
+}
+
+// take takes all servers of a read that was sent at an uptime.
+func (d *directory) take(read []backend.Server, sentAt time.Duration) []change {
+	if d.readAt > 0 && sentAt-d.readAt > outage {
+		d.graceUntil = sentAt + lapseGrace
+	}
+	d.readAt = sentAt
+	old := d.servers
+	d.servers = make(map[string]backend.Server, len(read))
+	var changes []change
+	for _, s := range read {
+		d.servers[s.ID] = s
+		was, known := old[s.ID]
+		switch {
+		case !known:
+			changes = append(changes, change{"joined", s})
+		case s.Draining && !was.Draining:
+			changes = append(changes, change{"draining", s})
+		}
+	}
+	for id, s := range old {
+		if _, ok := d.servers[id]; ok {
+			continue
+		}
+		if sentAt < d.graceUntil {
+			d.servers[id] = s
+			continue
+		}
+		changes = append(changes, change{"gone", s})
+	}
+	return changes
+}
+
+func (d *directory) snapshot() *Servers {
+	s := &Servers{byID: make(map[string]int, len(d.servers))}
+	for id, v := range d.servers {
+		s.byID[id] = len(s.List)
+		s.List = append(s.List, v)
+	}
+	return s
+}
+
+// strange reports whether a row that is no server's is seen for the first time.
+func (d *directory) strange(name string, version int64) bool {
+	if d.ignored == nil {
+		d.ignored = make(map[string]int64)
+	}
+	if d.ignored[name] == version {
+		return false
+	}
+	_, seen := d.ignored[name]
+	d.ignored[name] = version
+	return !seen
+}
--- /dev/null
+++ b/internal/front/forward/stream.go
@@ -0,0 +1,92 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/sse"
+)
+
+// stream passes events on as they come. A stream that may be resumed goes on at
+// another server when it is cut.
+func (x *call) stream(ctx context.Context) error {
+	begun := false
+	cause := errNoServer
+	for ctx.Err() == nil {
+		s, ok := x.servers.choose(x.fleet.Servers().List, x.service, x.domain, x.tried)
+		if !ok && !begun {
+			break
+		}
+		if !ok {
+			clear(x.tried)
+			fleet.Sleep(ctx, retryWait)
+			continue
+		}
+		x.tried[s.ID] = true
+		start := time.Now()
+		err := x.streamFrom(ctx, s, &begun)
+		x.servers.done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
+		if err == nil {
+			return nil
+		}
+		cause = err
+		x.explain(outcome{server: s.ID, err: err})
+		if x.ran && !x.route.Resumable {
+			break
+		}
+	}
+	return x.verdict(ctx, cause)
+}
+
+// streamFrom passes one server's events on.
+func (x *call) streamFrom(ctx context.Context, s backend.Server, begun *bool) error {
+	a, err := x.client.Do(ctx, s, x.request.Request)
+	if err != nil {
+		x.ran = x.ran || !errors.Is(err, backend.ErrNotSent)
+		return err
+	}
+	defer a.Body.Close()
+	if a.NotRun {
+		return errors.Wrapf(backend.ErrNotSent, "refused with status %d", a.Status)
+	}
+	x.ran = true
+	if a.Status != http.StatusOK {
+		if *begun {
+			return errors.Wrapf(backend.ErrCut, "status %d", a.Status)
+		}
+		return x.copy(a)
+	}
+	if !*begun {
+		*begun = true
+		x.sink.Begin(a.Status, a.Header, -1)
+	}
+	events := sse.NewReader(a.Body)
+	for {
+		e, err := events.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(backend.ErrCut, err.Error())
+		}
+		if err := x.sink.Write(e.Raw); err != nil {
+			return err
+		}
+		x.request.ResumeAfter = e.ID
+	}
+}
+
+// copy passes an answer on that is no stream.
+func (x *call) copy(a *backend.Response) error {
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	if err != nil {
+		return errors.Wrap(backend.ErrCut, err.Error())
+	}
+	return x.deliver(outcome{status: a.Status, header: a.Header, body: b})
+}
--- /dev/null
+++ b/internal/front/store/memory.go
@@ -0,0 +1,156 @@
+package store
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Memory is a Store within one process, for tests. The zero value is empty.
+// Its methods may be called from any goroutine.
+type Memory struct {
+	// Fail, if set, is asked before each call and may refuse it. It is set
+	// before the store is used.
+	Fail func(write bool) error
+	// LoseAnswer, if set, is asked after each write that took effect; true
+	// turns its answer into ErrUnknown.
+	LoseAnswer func() bool
+
+	mutex   sync.Mutex
+	rows    map[Key]Row
+	history []Row
+	version int64
+	changed chan struct{}
+}
+
+// Commit implements Store.
+func (m *Memory) Commit(_ context.Context, t Txn) (Snapshot, error) {
+	if err := m.fail(true); err != nil {
+		return Snapshot{}, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, c := range t.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			return m.current(t.Conditions), ErrConflict
+		}
+	}
+	m.apply(t)
+	if m.LoseAnswer != nil && m.LoseAnswer() {
+		return Snapshot{}, ErrUnknown
+	}
+	return Snapshot{Version: m.version, Now: time.Now()}, nil
+}
+
+// Feed implements Store.
+func (m *Memory) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Snapshot, error) {
+	if err := m.fail(false); err != nil {
+		return Snapshot{}, err
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		s, changed := m.since(table, after)
+		if len(s.Rows) > 0 {
+			return s, nil
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return s, nil
+		case <-ctx.Done():
+			return Snapshot{}, ErrUnavailable
+		}
+	}
+}
+
+// Parts implements Store.
+func (m *Memory) Parts(_ context.Context, table string) ([]string, error) {
+	if err := m.fail(false); err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var parts []string
+	for k := range m.rows {
+		if k.Table == table && !slices.Contains(parts, k.Part) {
+			parts = append(parts, k.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts, nil
+}
+
+// Read implements Store.
+func (m *Memory) Read(_ context.Context, r Range) (Snapshot, error) {
+	if err := m.fail(false); err != nil {
+		return Snapshot{}, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	s := Snapshot{Version: m.version, Now: time.Now()}
+	for k, row := range m.rows {
+		if k.Table == r.Table && k.Part == r.Part && k.Name >= r.From && (r.To == "" || k.Name < r.To) {
+			s.Rows = append(s.Rows, row)
+		}
+	}
+	slices.SortFunc(s.Rows, func(a, b Row) int { return strings.Compare(a.Key.Name, b.Key.Name) })
+	if r.Limit > 0 && len(s.Rows) > r.Limit {
+		s.Rows, s.More = s.Rows[:r.Limit], true
+	}
+	return s, nil
+}
+
+func (m *Memory) apply(t Txn) {
+	if m.rows == nil {
+		m.rows = make(map[Key]Row)
+	}
+	m.version++
+	for _, p := range t.Puts {
+		p.Version, p.Value = m.version, slices.Clone(p.Value)
+		m.rows[p.Key] = p
+		m.history = append(m.history, p)
+	}
+	for _, k := range t.Removes {
+		delete(m.rows, k)
+		m.history = append(m.history, Row{Key: k, Version: m.version, Removed: true})
+	}
+	if m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+}
+
+func (m *Memory) current(conditions []Row) Snapshot {
+	s := Snapshot{Version: m.version, Now: time.Now()}
+	for _, c := range conditions {
+		if r, ok := m.rows[c.Key]; ok {
+			s.Rows = append(s.Rows, r)
+		}
+	}
+	return s
+}
+
+func (m *Memory) fail(write bool) error {
+	if m.Fail == nil {
+		return nil
+	}
+	return m.Fail(write)
+}
+
+func (m *Memory) since(table string, after int64) (Snapshot, <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	s := Snapshot{Version: m.version, Now: time.Now()}
+	for _, r := range m.history {
+		if r.Key.Table == table && r.Version > after {
+			s.Rows = append(s.Rows, r)
+		}
+	}
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return s, m.changed
+}
