Give each server one model's weights to load

Which model was served first changed from look to look, so one starved.

Each server now belongs to one model, by demand and by how little it is behind. wave's replay of two trainers fails with the plan of before.

--- a/internal/control/route/route.go
+++ b/internal/control/route/route.go
@@ -66,6 +66,8 @@
 	// Models are those that the service's engines serve; empty for plain
 	// services.
 	Models []string
+	// TokensPerEvent is the number of tokens in an event of an engine's stream.
+	TokensPerEvent int
 	// Scaling is nil if the number of servers is fixed.
 	Scaling *Scaling
 }
--- a/internal/control/wave/wave.go
+++ b/internal/control/wave/wave.go
@@ -1,61 +1,167 @@
 // Package wave decides which backend servers load a new version of a model's
 // weights, and when.
 //
-// A trainer's step accepts the version before the newest, too, so a server that
-// has it need not load. About half of the servers load at each version: those
-// that are two behind, which soon no step accepts. The others go on serving
-// both open steps meanwhile, and each load is paid for by two versions.
+// The load that it answers is several trainers that each name a version every
+// few seconds, while only a few servers may load at a time. Two measures keep
+// the loads below what the source of weights gives. Each server belongs to one
+// model, so that it loads for one trainer only; models get servers by demand.
+// And a trainer's step accepts the version before the newest, too, so about
+// half of a model's servers load at each version: those that are two behind,
+// which soon no step accepts. The others serve both open steps meanwhile.
 package wave
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
-// minAtOnce is the number of servers that may always load at the same time.
-const minAtOnce = 2
+const (
+	// minAtOnce is the number of servers that may always load at the same time.
+	minAtOnce = 2
+	// atOnceShare is the part of the servers that may load at the same time.
+	// The source of weights serves more of them more slowly.
+	atOnceShare = 0.2
+)
 
-// atOnceShare is the part of the servers that may load at the same time. The
-// source of weights serves more of them more slowly.
-const atOnceShare = 0.2
+// Model is a model with a named version.
+type Model struct {
+	Name  string
+	Named int
+	// Demand is the work that waits for the model, in any unit.
+	Demand float64
+}
 
 // Server is a backend server as a roll-out sees it.
 type Server struct {
 	ID string
-	// Version is the version of the model that the server runs.
-	Version int
-	// Loading is whether it is loading weights, or may be.
-	Loading bool
+	// Versions gives the version of each model that the server runs.
+	Versions map[string]int
+	// Loading is the model whose weights it loads or may load; empty for none.
+	Loading string
 	// Running is the number of its runs, if known.
 	Running int
 }
 
-// Pick returns the servers that are to load the version named now.
-func Pick(servers []Server, named int) []string {
-	atOnce := max(minAtOnce, int(atOnceShare*float64(len(servers))+0.5))
+// Order has a server load the named version of a model.
+type Order struct {
+	Server string
+	Model  string
+}
+
+// Plan returns the orders to give now to the servers of one service.
+func Plan(models []Model, servers []Server) []Order {
+	if len(models) == 0 {
+		return nil
+	}
+	room := max(minAtOnce, int(atOnceShare*float64(len(servers))+0.5))
+	for _, s := range servers {
+		if s.Loading != "" {
+			room--
+		}
+	}
+	homes := assign(models, servers)
+	slices.SortFunc(models, func(a, b Model) int {
+		return cmp.Or(cmp.Compare(fresh(a, homes[a.Name]), fresh(b, homes[b.Name])), cmp.Compare(a.Name, b.Name))
+	})
+	var out []Order
+	for _, m := range models {
+		for _, id := range pick(homes[m.Name], m) {
+			if len(out) >= room {
+				return out
+			}
+			out = append(out, Order{Server: id, Model: m.Name})
+		}
+	}
+	return out
+}
+
+// assign gives each server to one model: models get servers by demand, and
+// those that are the least behind for them.
+func assign(models []Model, servers []Server) map[string][]Server {
+	type pair struct {
+		server, model, lag int
+	}
+	var pairs []pair
+	for i, s := range servers {
+		for j, m := range models {
+			lag := max(0, m.Named-s.Versions[m.Name])
+			if s.Loading == m.Name {
+				lag = 0
+			}
+			pairs = append(pairs, pair{i, j, lag})
+		}
+	}
+	slices.SortStableFunc(pairs, func(a, b pair) int { return a.lag - b.lag })
+	quotas := split(models, len(servers))
+	taken := make(map[int]bool)
+	homes := make(map[string][]Server)
+	for _, p := range pairs {
+		if !taken[p.server] && quotas[p.model] > 0 {
+			taken[p.server] = true
+			quotas[p.model]--
+			homes[models[p.model].Name] = append(homes[models[p.model].Name], servers[p.server])
+		}
+	}
+	return homes
+}
+
+// split divides a number of servers by demand; each model gets at least one
+// while there are enough.
+func split(models []Model, servers int) []int {
+	total := 0.0
+	for _, m := range models {
+		total += max(m.Demand, minDemand)
+	}
+	out := make([]int, len(models))
+	for range servers {
+		best, bestNeed := 0, 0.0
+		for i, m := range models {
+			need := max(m.Demand, minDemand) / total / (float64(out[i]) + 0.5)
+			if out[i] == 0 {
+				need += 2
+			}
+			if need > bestNeed {
+				best, bestNeed = i, need
+			}
+		}
+		out[best]++
+	}
+	return out
+}
+
+// minDemand is what a model without work is taken to demand.
+const minDemand = 1e-6
+
+// fresh returns the part of a model's servers that the next step accepts.
+func fresh(m Model, servers []Server) float64 {
+	n := 0
+	for _, s := range servers {
+		if s.Loading == m.Name || s.Versions[m.Name] >= m.Named-1 {
+			n++
+		}
+	}
+	return float64(n) / float64(max(1, len(servers)))
+}
+
+// pick returns the servers of a model that are to load, the most urgent first.
+func pick(servers []Server, m Model) []string {
 	newest := 0
 	var behind []Server
 	for _, s := range servers {
 		switch {
-		case s.Loading:
-			atOnce--
-			newest++
-		case s.Version >= named:
+		case s.Loading == m.Name || s.Versions[m.Name] >= m.Named:
 			newest++
-		default:
+		case s.Loading == "":
 			behind = append(behind, s)
 		}
 	}
 	slices.SortStableFunc(behind, func(a, b Server) int {
-		if a.Version != b.Version {
-			return a.Version - b.Version
-		}
-		return a.Running - b.Running
+		return cmp.Or(a.Versions[m.Name]-b.Versions[m.Name], a.Running-b.Running)
 	})
-	half := (len(servers) + 1) / 2
+	half := max(1, len(servers)/2)
 	var out []string
 	for _, s := range behind {
-		if len(out) >= atOnce {
-			break
-		}
-		if s.Version < named-1 || newest < half {
+		if s.Versions[m.Name] < m.Named-1 || newest < half {
 			out = append(out, s.ID)
 			newest++
 		}
--- a/internal/control/wave/wave_test.go
+++ b/internal/control/wave/wave_test.go
@@ -12,27 +12,87 @@
 func servers(versions ...int) []wave.Server {
 	var out []wave.Server
 	for i, v := range versions {
-		out = append(out, wave.Server{ID: strconv.Itoa(i), Version: v})
+		out = append(out, wave.Server{ID: strconv.Itoa(i), Versions: map[string]int{"m": v}})
+	}
+	return out
+}
+
+func plan(s []wave.Server, named int) []string {
+	var out []string
+	for _, o := range wave.Plan([]wave.Model{{Name: "m", Named: named, Demand: 1}}, s) {
+		out = append(out, o.Server)
 	}
 	return out
 }
 
 func TestHalfLoadsTheFirstVersion(t *testing.T) {
 	s := servers(1, 1, 1, 1)
-	must.Eq(t, []string{"0", "1"}, wave.Pick(s, 2))
-	s[0].Loading, s[1].Loading = true, true
-	must.SliceEmpty(t, wave.Pick(s, 2))
-	s = servers(2, 2, 1, 1)
-	must.SliceEmpty(t, wave.Pick(s, 2))
+	must.Eq(t, []string{"0", "1"}, plan(s, 2))
+	s[0].Loading, s[1].Loading = "m", "m"
+	must.SliceEmpty(t, plan(s, 2))
+	must.SliceEmpty(t, plan(servers(2, 2, 1, 1), 2))
 }
 
 func TestThoseTwoBehindLoadNext(t *testing.T) {
-	must.Eq(t, []string{"2", "3"}, wave.Pick(servers(2, 2, 1, 1), 3))
-	must.Eq(t, []string{"0", "1"}, wave.Pick(servers(2, 2, 3, 3), 4))
+	must.Eq(t, []string{"2", "3"}, plan(servers(2, 2, 1, 1), 3))
+	must.Eq(t, []string{"0", "1"}, plan(servers(2, 2, 3, 3), 4))
+}
+
+func TestNothingToLoad(t *testing.T) {
+	must.SliceEmpty(t, wave.Plan(nil, servers(1, 1)))
+	must.SliceEmpty(t, plan(nil, 2))
 }
 
 func TestNoMoreLoadThanMayAtOnce(t *testing.T) {
 	s := servers(1, 1, 1, 1, 1, 1, 1, 1, 1)
-	s[0].Loading = true
-	must.Len(t, 1, wave.Pick(s, 3))
+	s[0].Loading = "m"
+	must.Len(t, 1, plan(s, 3))
+}
+
+// TestTwoTrainersKeepWithinTheLoads replays two trainers that each name a
+// version every four seconds, for eleven servers of which two load at a time in
+// a second. Each must always find servers that its next step accepts.
+func TestTwoTrainersKeepWithinTheLoads(t *testing.T) {
+	var s []wave.Server
+	for i := range 11 {
+		s = append(s, wave.Server{ID: strconv.Itoa(i), Versions: map[string]int{"a": 1, "b": 1}})
+	}
+	models := []wave.Model{{Name: "a", Named: 1, Demand: 7}, {Name: "b", Named: 1, Demand: 3}}
+	for second := range 80 {
+		for i := range s {
+			if m := s[i].Loading; m != "" {
+				s[i].Versions[m] = named(models, m)
+				s[i].Loading = ""
+			}
+		}
+		for i := range models {
+			if second%4 == 0 && second > 0 {
+				models[i].Named++
+			}
+			accepted := 0
+			for _, v := range s {
+				if v.Versions[models[i].Name] >= models[i].Named-1 {
+					accepted++
+				}
+			}
+			must.Positive(t, accepted, must.Sprintf("second %d, model %s", second, models[i].Name))
+		}
+		for _, o := range wave.Plan(append([]wave.Model(nil), models...), s) {
+			for i := range s {
+				if s[i].ID == o.Server {
+					must.Eq(t, "", s[i].Loading)
+					s[i].Loading = o.Model
+				}
+			}
+		}
+	}
+}
+
+func named(models []wave.Model, name string) int {
+	for _, m := range models {
+		if m.Name == name {
+			return m.Named
+		}
+	}
+	return 0
 }
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// Demand returns the tokens that the known jobs of a model expect, ended ones
+// among them: the next steps will be alike.
+func (r *Runner) Demand(model string) float64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	sum := 0.0
+	for _, j := range r.jobs {
+		if j.head.Model != model {
+			continue
+		}
+		for _, i := range j.head.Items {
+			sum += float64(expected(i.Tokens, i.Limit))
+		}
+	}
+	return sum
+}
+
 // accepted takes a job that this daemon has written.
 func (r *Runner) accepted(h Head, parcels [][]Item) {
 	r.mutex.Lock()
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -112,7 +112,7 @@
 	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, self, log)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
 	d.keeper = duty.NewKeeper(d.fleet, p.Store, self, s.Machine, s.Bounds.LeaseTerm, log)
-	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, self, log)
+	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.Demand, self, log)
 	d.meter = duty.NewMeter(p.Store, self, s.Bounds.UsageWindow, log)
 	d.usage = duty.NewUsage(d.fleet, p.Store, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, s.Domain, log)
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/control/wave"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -18,9 +21,9 @@
 	// orderTimeout bounds one order. The margin of a tenure covers it.
 	orderTimeout = 500 * time.Millisecond
 	// loadTime is how long a load takes at least; a server is asked after it.
-	loadTime = 800 * time.Millisecond
+	loadTime = 900 * time.Millisecond
 	// askInterval is the time between two questions to a server that loads.
-	askInterval = 250 * time.Millisecond
+	askInterval = 130 * time.Millisecond
 	// loadTimeout is when an order without effect counts as lost.
 	loadTimeout = 5 * time.Second
 	// refusedWait is how long a server that refused an order gets no other.
@@ -32,6 +35,8 @@
 type Weights struct {
 	client backend.Client
 	fleet  *fleet.State
+	// demand returns the work that waits for a model.
+	demand func(model string) float64
 	holder Holder
 	self   string
 	log    *zap.Logger
@@ -57,9 +62,11 @@
 }
 
 // NewWeights returns Weights that act while h holds.
-func NewWeights(f *fleet.State, c backend.Client, h Holder, self string, log *zap.Logger) *Weights {
+func NewWeights(
+	f *fleet.State, c backend.Client, h Holder, demand func(model string) float64, self string, log *zap.Logger,
+) *Weights {
 	return &Weights{
-		client: c, fleet: f, holder: h, self: self, log: log,
+		client: c, fleet: f, demand: demand, holder: h, self: self, log: log,
 		loads: make(map[string]*load), loaded: make(map[string]map[string]int),
 	}
 }
@@ -104,21 +111,48 @@
 	defer w.mutex.Unlock()
 	now := time.Now()
 	w.settle(ctx, now)
-	for model, named := range w.fleet.Versions() {
-		var candidates []wave.Server
-		servers := w.fleet.Servers()
-		for _, s := range servers.List {
-			if _, has := s.Weights[model]; !has || s.Draining {
-				continue
+	c := w.fleet.Config()
+	if c == nil {
+		return
+	}
+	for name, service := range c.Services {
+		for _, o := range wave.Plan(w.models(service), w.candidates(name, service)) {
+			if s, ok := w.fleet.Servers().Get(o.Server); ok {
+				w.order(ctx, s, o.Model, w.fleet.Version(o.Model), now)
 			}
-			candidates = append(candidates, wave.Server{ID: s.ID, Version: w.fleet.Loaded(s, model), Loading: w.loads[s.ID] != nil})
 		}
-		for _, id := range wave.Pick(candidates, named) {
-			if s, ok := servers.Get(id); ok {
-				w.order(ctx, s, model, named, now)
-			}
+	}
+}
+
+// models returns the models of a service whose versions are named.
+func (w *Weights) models(s route.Service) []wave.Model {
+	var out []wave.Model
+	for _, m := range s.Models {
+		if v := w.fleet.Version(m); v > 0 {
+			out = append(out, wave.Model{Name: m, Named: v, Demand: w.demand(m)})
 		}
 	}
+	return out
+}
+
+// candidates returns the servers of a service that may load.
+func (w *Weights) candidates(name string, service route.Service) []wave.Server {
+	var out []wave.Server
+	for _, s := range w.fleet.Servers().List {
+		if s.Service != name || s.Draining {
+			continue
+		}
+		v := wave.Server{ID: s.ID, Versions: make(map[string]int)}
+		for _, m := range service.Models {
+			v.Versions[m] = w.fleet.Loaded(s, m)
+		}
+		if l := w.loads[s.ID]; l != nil {
+			v.Loading = l.model
+		}
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b wave.Server) int { return strings.Compare(a.ID, b.ID) })
+	return out
 }
 
 // order sends an order in the background.
