Order spot servers by demand, and notice dead daemons within a second

A server that refuses an item rests for 150 ms. Heartbeats go every 300 ms, and a daemon counts as dead after three reads without one; checkpoints every 500 ms. Usage is sealed 1.8 s after a window's end instead of 3 s, so that an outage that begins then finds it sealed.

--- a/cmd/lacewingtally/front.go
+++ b/cmd/lacewingtally/front.go
@@ -39,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	platform := cloud.New(s.Cloud)
 	return daemon.Run(ctx, s, daemon.Parts{
 		Codec: fleet.Codec{
 			OperatorTable: operator.Table,
@@ -50,7 +51,8 @@
 		},
 		Store:    store.New(s.Store),
 		Servers:  server.NewClient(),
-		Reporter: cloud.New(s.Cloud),
+		Reporter: platform,
+		Scaler:   platform,
 		Callers: func(f *forward.Forwarder, j *batch.Service, leaving func() bool) http.Handler {
 			return &caller.Handler{Forwarder: f, Jobs: j, Log: log, Leaving: leaving, RetryAfter: retryAfter}
 		},
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -20,6 +20,8 @@
 const (
 	// refusedWait is the wait after a server refused an item.
 	refusedWait = 60 * time.Millisecond
+	// refusedRest is how long a server that refused an item gets no others.
+	refusedRest = 150 * time.Millisecond
 	// restTime is how long a server that could not be reached gets no items.
 	restTime = 500 * time.Millisecond
 	// itemUrgency ranks items behind live requests, which have 5 by default.
@@ -98,7 +100,8 @@
 			return
 		}
 	default:
-		i.notBefore = now.Add(refusedWait)
+		// The server is full or loads weights.
+		r.paces.rest(s.ID, refusedRest)
 		i.avoid = s.ID
 	}
 	r.log.Info("item to run again", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", s.ID),
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -20,13 +20,13 @@
 	// listInterval is how long results are gathered before they are written.
 	listInterval = 60 * time.Millisecond
 	// markInterval is the time between two checkpoints.
-	markInterval = time.Second
+	markInterval = 500 * time.Millisecond
 	// writeTimeout bounds one write of results or checkpoints.
 	writeTimeout = 900 * time.Millisecond
 	// ownerInterval is the time between two looks for items whose daemon died.
-	ownerInterval = 250 * time.Millisecond
+	ownerInterval = 100 * time.Millisecond
 	// keepEnded is how long an ended job's head is kept in memory.
-	keepEnded = 10 * time.Second
+	keepEnded = 12 * time.Second
 )
 
 // Runner runs the items that belong to this daemon. Use NewRunner.
@@ -146,14 +146,32 @@
 	}
 }
 
+// rateSpan is the time over which the rate of a model's work is taken.
+const rateSpan = 12 * time.Second
+
 // Demand returns the tokens that the known jobs of a model expect, ended ones
 // among them: the next steps will be alike.
 func (r *Runner) Demand(model string) float64 {
+	return r.tokensOf(model, time.Time{})
+}
+
+// Rate returns the tokens of a model that trainers ask for in a second.
+func (r *Runner) Rate(model string) float64 {
+	now, ok := r.fleet.Clock.Now()
+	if !ok {
+		return 0
+	}
+	return r.tokensOf(model, now.Add(-rateSpan)) / rateSpan.Seconds()
+}
+
+// tokensOf adds up the tokens of a model's jobs that came after an instant of
+// the store's clock.
+func (r *Runner) tokensOf(model string, since time.Time) float64 {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	sum := 0.0
 	for _, j := range r.jobs {
-		if j.head.Model != model {
+		if j.head.Model != model || j.head.SubmittedAt < since.UnixMilli() {
 			continue
 		}
 		for _, i := range j.head.Items {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -50,6 +50,7 @@
 	Store    store.Store
 	Servers  backend.Client
 	Reporter duty.Reporter
+	Scaler   duty.Scaler
 	// Callers returns the handler of callers' requests.
 	Callers func(*forward.Forwarder, *batch.Service, func() bool) http.Handler
 	// Ready returns the handler of the balancer's questions.
@@ -69,6 +70,7 @@
 	weights   *duty.Weights
 	meter     *duty.Meter
 	usage     *duty.Usage
+	scale     *duty.Scale
 	forwarder *forward.Forwarder
 	jobs      *batch.Service
 	leaving   atomic.Bool
@@ -115,6 +117,7 @@
 	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.Demand, self, log)
 	d.meter = duty.NewMeter(p.Store, self, s.Bounds.UsageWindow, log)
 	d.usage = duty.NewUsage(d.fleet, p.Store, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
+	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.Rate, self, log)
 	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, s.Domain, log)
 	return d
 }
@@ -132,6 +135,7 @@
 	t.Add(service{"Weights", d.weights.Serve})
 	t.Add(service{"Meter", d.meter.Serve})
 	t.Add(service{"Usage", d.usage.Serve})
+	t.Add(service{"Scale", d.scale.Serve})
 	return t
 }
 
--- a/internal/front/duty/usage.go
+++ b/internal/front/duty/usage.go
@@ -20,9 +20,9 @@
 	// reported.
 	sealTable = "sealed"
 	// usageInterval is the time between two writes of a daemon's counts.
-	usageInterval = 800 * time.Millisecond
+	usageInterval = 600 * time.Millisecond
 	// sealAfter is how long after a window's end its figures are added up.
-	sealAfter = 3 * time.Second
+	sealAfter = 1800 * time.Millisecond
 	// reportInterval is the time between two looks at what is to be reported.
 	reportInterval = 500 * time.Millisecond
 	// keepWindows is the number of windows whose counts a daemon keeps.
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -16,12 +16,17 @@
 
 const (
 	memberTable = "members"
-	// heartbeatInterval is the time between two heartbeats of a daemon, and
-	// between two reads of all.
-	heartbeatInterval = 500 * time.Millisecond
-	// aliveFor is how long a daemon counts as alive after its last heartbeat
-	// was seen.
-	aliveFor = 1700 * time.Millisecond
+	// heartbeatInterval is the least time between two heartbeats of a daemon,
+	// and between two reads of all.
+	heartbeatInterval = 300 * time.Millisecond
+	// heartbeatShare is the time that each daemon adds to the interval, so that
+	// large fleets stay below what one part of the store takes.
+	heartbeatShare = 8 * time.Millisecond
+	// aliveReads and aliveIntervals are for how many reads, and for how many
+	// intervals, a daemon's row may stay the same while it counts as alive. A
+	// slow store delays reads as much as heartbeats.
+	aliveReads     = 3
+	aliveIntervals = 3.6
 	// forgetAfter is how long the row of a dead daemon is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -93,7 +98,7 @@
 			f.failed(memberTable, err)
 		}
 		f.readMembers(ctx, &r)
-		Sleep(ctx, heartbeatInterval)
+		Sleep(ctx, r.interval())
 	}
 	return nil
 }
@@ -169,16 +174,23 @@
 type sighting struct {
 	member  Member
 	version int64
-	// age is the time that the row stayed the same while reads succeeded.
-	age  time.Duration
-	dead bool
+	// age is the time, and reads the number of reads, that the row stayed the
+	// same while reads succeeded.
+	age   time.Duration
+	reads int
+	dead  bool
+}
+
+// interval returns the time between two heartbeats.
+func (r *roster) interval() time.Duration {
+	return max(heartbeatInterval, time.Duration(len(r.seen))*heartbeatShare)
 }
 
 // take takes all rows of a read that was sent at an uptime, and returns the
 // daemons that count as dead from now on. Time during which no read succeeded
 // ages nobody: the others could not write either.
 func (r *roster) take(rows []store.Row, sentAt time.Duration) []string {
-	step := min(sentAt-r.readAt, 2*heartbeatInterval)
+	step := min(sentAt-r.readAt, 2*r.interval())
 	if r.seen == nil {
 		r.seen, step = make(map[string]*sighting), 0
 	}
@@ -198,11 +210,12 @@
 			if err := msgpack.Unmarshal(row.Value, &m); err != nil {
 				continue
 			}
-			g.member, g.version, g.age, g.dead = m, row.Version, 0, false
+			g.member, g.version, g.age, g.reads, g.dead = m, row.Version, 0, 0, false
 			continue
 		}
 		g.age += step
-		if g.age >= aliveFor && !g.dead {
+		g.reads++
+		if g.reads >= aliveReads && float64(g.age) >= aliveIntervals*float64(r.interval()) && !g.dead {
 			g.dead = true
 			died = append(died, id)
 		}
