--- /dev/null
+++ b/internal/front/batch/listing_test.go
@@ -0,0 +1,92 @@
+package batch
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+// TestPositionsNeverChange writes pages from two daemons in any order, some of
+// them for the same items and some whose answers are lost, and reads from any
+// position in between.
+func TestPositionsNeverChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lose := false
+		m := &store.Memory{LoseAnswer: func() bool { return lose }}
+		l := Ledger{Store: m}
+		ctx := context.Background()
+		var listed []string
+		for n := range rapid.IntRange(1, 12).Draw(t, "Writes") {
+			var page []Result
+			for range rapid.IntRange(1, 4).Draw(t, "Results") {
+				id := strconv.Itoa(rapid.IntRange(0, 20).Draw(t, "Item"))
+				page = append(without(page, map[string]bool{id: true}), Result{ID: id, State: Completed, Text: strings.Repeat(id, 9)})
+			}
+			lose = rapid.Bool().Draw(t, "LoseAnswer")
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "Daemon") + "-" + strconv.Itoa(n)
+			for len(page) > 0 {
+				taken, own, err := l.list(ctx, "j", name, page)
+				lose = false
+				if err == nil || own {
+					break
+				}
+				page = without(page, taken)
+			}
+			pages, err := l.pages(ctx, "j")
+			must.NoError(t, err)
+			found, total := locate(pages, 0)
+			all, err := l.results(ctx, "j", found)
+			must.NoError(t, err)
+			must.Eq(t, total, len(all))
+			must.GreaterEq(t, len(listed), total)
+			seen := make(map[string]bool)
+			for i, r := range all {
+				must.False(t, seen[r.ID])
+				seen[r.ID] = true
+				if i < len(listed) {
+					must.Eq(t, listed[i], r.ID)
+				}
+			}
+			listed = listed[:0]
+			for _, r := range all {
+				listed = append(listed, r.ID)
+			}
+			after := rapid.IntRange(0, total).Draw(t, "After")
+			found, _ = locate(pages, after)
+			part, err := l.results(ctx, "j", found)
+			must.NoError(t, err)
+			must.Len(t, total-after, part)
+		}
+	})
+}
+
+func TestLongTextsTakeSeveralRows(t *testing.T) {
+	l := Ledger{Store: &store.Memory{}}
+	text := strings.Repeat("x", 3*chunkBytes)
+	_, _, err := l.list(context.Background(), "j", "p", []Result{{ID: "1", State: Completed, Text: text}})
+	must.NoError(t, err)
+	pages, err := l.pages(context.Background(), "j")
+	must.NoError(t, err)
+	found, _ := locate(pages, 0)
+	got, err := l.results(context.Background(), "j", found)
+	must.NoError(t, err)
+	must.Eq(t, text, got[0].Text)
+}
+
+func TestMarksOfTwoRunsAreNotMixed(t *testing.T) {
+	p := join([]Mark{
+		{From: 0, To: 2, Data: []string{"a", "b"}, Weights: []int{4}},
+		{From: 1, To: 3, Data: []string{"x", "y"}},
+		{From: 2, To: 3, Data: []string{"c"}, Weights: []int{5}},
+		{From: 7, To: 8, Data: []string{"z"}},
+	})
+	must.Eq(t, 3, p.After)
+	must.Eq(t, []string{"a", "b", "c"}, p.Data)
+	must.Eq(t, []int{4, 5}, p.Weights)
+}
