Reach the store through peers while it turns a daemon away

Ruled out: the readiness alone, for a daemon that is not ready still holds its items. A peer's copy of the configuration alone, for results and ends need the store as well.

internal/front/relay passes single calls on through the peers' own protocol; a write without an answer is not made twice. A daemon stays ready while a peer answers, so an outage for all changes nothing in the rotation. Daemons listen for peers on the control address, so that seeds help one that starts while refused.

--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -21,8 +21,10 @@
 	"github.com/lacewingtally/lacewingtally/internal/front/duty"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/forward"
+	"github.com/lacewingtally/lacewingtally/internal/front/relay"
 	"github.com/lacewingtally/lacewingtally/internal/front/settings"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
 
 const (
@@ -39,6 +41,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeader bounds a request's head, in bytes.
 	maxHeader = 64 << 10
+	// peerDialTimeout bounds the making of a connection to another daemon.
+	peerDialTimeout = 400 * time.Millisecond
 	// memoryPart is the part of the memory at which the collector works harder.
 	memoryPart = 0.7
 	megabyte   = 1 << 20
@@ -64,6 +68,10 @@
 	log      *zap.Logger
 	self     string
 
+	calls     *wire.Client
+	counters  wire.Counters
+	mux       wire.Mux
+	relay     *relay.Store
 	fleet     *fleet.State
 	runner    *batch.Runner
 	keeper    *duty.Keeper
@@ -99,6 +107,7 @@
 	d.leave(callers)
 	stop()
 	<-done
+	d.calls.Close()
 	if err := ready.Close(); err != nil {
 		d.log.Info("listener not closed", zap.Error(err))
 	}
@@ -109,14 +118,17 @@
 func build(s settings.Settings, p Parts, log *zap.Logger) *daemon {
 	self := s.Machine + "/" + uuid.NewString()[:8]
 	d := &daemon{settings: s, parts: p, log: log, self: self}
-	d.fleet = fleet.New(p.Store, p.Codec, log)
-	ledger := batch.Ledger{Store: p.Store}
+	d.calls = wire.NewClient(s.Listen.Peers, dialPeer, &d.counters)
+	d.relay = relay.New(p.Store, d.calls, d.peers, log)
+	d.relay.Handle(&d.mux)
+	d.fleet = fleet.New(d.relay, p.Codec, log)
+	ledger := batch.Ledger{Store: d.relay}
 	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, self, log)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
-	d.keeper = duty.NewKeeper(d.fleet, p.Store, self, s.Machine, s.Bounds.LeaseTerm, log)
+	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
 	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.Demand, self, log)
-	d.meter = duty.NewMeter(p.Store, self, s.Bounds.UsageWindow, log)
-	d.usage = duty.NewUsage(d.fleet, p.Store, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
+	d.meter = duty.NewMeter(d.relay, self, s.Bounds.UsageWindow, log)
+	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.Rate, self, log)
 	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, s.Domain, log)
 	return d
@@ -127,6 +139,8 @@
 	t := suture.New("daemon", suture.Spec{EventHook: func(e suture.Event) {
 		d.log.Error("part restarted", zap.String("Event", e.String()))
 	}})
+	t.Add(service{"Peers", d.servePeers})
+	t.Add(service{"Relay", d.relay.Serve})
 	t.Add(service{"Operator", d.fleet.ServeOperator})
 	t.Add(service{"Servers", d.fleet.ServeServers})
 	t.Add(service{"Members", func(ctx context.Context) error { return d.fleet.ServeMembers(ctx, d.member) }})
@@ -143,14 +157,53 @@
 func (d *daemon) member() fleet.Member {
 	return fleet.Member{
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
-		Address: netip.AddrPortFrom(d.settings.Listen.Address, d.settings.Listen.Peers),
-		Share:   d.settings.CoreShare, Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(),
+		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
+		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(),
 	}
 }
 
-// ready reports whether the daemon should get new connections.
+// ready reports whether the daemon should get new connections. One that is cut
+// off from all others should not; while the store is away from all of them, one
+// is as good as another.
 func (d *daemon) ready() bool {
-	return !d.leaving.Load() && d.fleet.Config() != nil && d.fleet.Reachable()
+	return !d.leaving.Load() && d.fleet.Config() != nil && !d.relay.Isolated()
+}
+
+// peers returns the addresses of the other daemons. The seeds stand in for them
+// until the first reading of all.
+func (d *daemon) peers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range d.fleet.Members().List {
+		if m.ID != d.self {
+			out = append(out, m.Address)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, a := range d.settings.Seeds {
+		if a != d.settings.Listen.Peers {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// servePeers answers other daemons until the context ends.
+func (d *daemon) servePeers(ctx context.Context) error {
+	var c net.ListenConfig
+	l, err := c.Listen(ctx, "tcp", d.settings.Listen.Peers.String())
+	if err != nil {
+		return errors.Wrap(err, "daemon: listen for peers")
+	}
+	anyone := func(net.Conn, netip.AddrPort) error { return nil }
+	return wire.NewServer(&d.mux, anyone, &d.counters).Serve(ctx, l)
+}
+
+// dialPeer connects to another daemon.
+func dialPeer(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	n := net.Dialer{Timeout: peerDialTimeout}
+	return n.DialContext(ctx, "tcp", to.String())
 }
 
 // leave hands all work over and lets running requests finish.
--- a/internal/front/settings/settings.go
+++ b/internal/front/settings/settings.go
@@ -23,6 +23,8 @@
 	Machine string `yaml:"Machine"`
 	Domain  string `yaml:"Domain"`
 	Listen  Listen `yaml:"Listen"`
+	// Seeds are daemons to ask before the others are known; any may be stale.
+	Seeds []netip.AddrPort `yaml:"Seeds"`
 	// Store and Cloud are the platform's services.
 	Store netip.AddrPort `yaml:"Store"`
 	Cloud netip.AddrPort `yaml:"Cloud"`
@@ -39,10 +41,9 @@
 type Listen struct {
 	Callers netip.AddrPort `yaml:"Callers"`
 	Ready   netip.AddrPort `yaml:"Ready"`
-	// Peers and Metrics are ports of the first address.
-	Address netip.Addr `yaml:"Address"`
-	Peers   uint16     `yaml:"Peers"`
-	Metrics uint16     `yaml:"Metrics"`
+	// Peers is where other daemons call.
+	Peers   netip.AddrPort `yaml:"Peers"`
+	Metrics netip.AddrPort `yaml:"Metrics"`
 }
 
 // Bounds are what the operators promise or ask for.
@@ -86,6 +87,8 @@
 		return errors.Wrap(ErrSettings, "Listen.Callers is missing")
 	case !s.Listen.Ready.IsValid():
 		return errors.Wrap(ErrSettings, "Listen.Ready is missing")
+	case !s.Listen.Peers.IsValid():
+		return errors.Wrap(ErrSettings, "Listen.Peers is missing")
 	case !s.Store.IsValid():
 		return errors.Wrap(ErrSettings, "Store is missing")
 	case s.Bounds.Grace <= 0:
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -31,6 +31,7 @@
 	KindDemand   Kind = 8
 	KindView     Kind = 9
 	KindStatus   Kind = 10
+	KindStore    Kind = 11
 )
 
 // Caller calls peers. Its method may be called from any goroutine.
