Keep servers for long items, and reload settings on SIGHUP

Ruled out: waiting (below a millisecond), the store.

Half of the servers, the faster ones, are kept for long items while short ones need not hurry. Daemons tell each other in their heartbeats what they run where and how fast servers are. Loads of weights end the streams at once; the items resume elsewhere. Checkpoints name the lineage of their text, so that two runs are never joined, and a single-version result begins anew when weights change. Settings are read again on SIGHUP and when the file changes.

--- a/cmd/lacewingtally/front.go
+++ b/cmd/lacewingtally/front.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap/zapcore"
@@ -32,7 +34,10 @@
 )
 
 // runFront runs a daemon with the platform's adapters.
-func runFront(ctx context.Context, s settings.Settings) error {
+func runFront(ctx context.Context, file string, s settings.Settings) error {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
 	out := &zapcore.BufferedWriteSyncer{WS: zapcore.AddSync(os.Stdout), Size: logBuffer, FlushInterval: logFlush}
 	defer out.Stop()
 	log, err := telemetry.NewLogger(out, s.LogLevel)
@@ -57,5 +62,8 @@
 			return &caller.Handler{Forwarder: f, Jobs: j, Log: log, Leaving: leaving, RetryAfter: retryAfter}
 		},
 		Ready: caller.Ready,
+		Settings: func(ctx context.Context, adopt func(settings.Settings)) {
+			settings.Watch(ctx, file, s, hangup, adopt, log)
+		},
 	}, log)
 }
--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -6,34 +6,42 @@
 	// firstPatience is how long a server may take to the first event.
 	firstPatience = 700 * time.Millisecond
 	// pausePatience is how long a server may pause between two events.
-	pausePatience = 400 * time.Millisecond
-	// moveCost is what stopping an item and resuming it elsewhere takes.
-	moveCost = 150 * time.Millisecond
+	pausePatience = 250 * time.Millisecond
+	// settleTime is how long an item stays with a server before it is moved for
+	// speed alone.
+	settleTime = time.Second
+	// moveGain is the least time that moving an item must save. Stopping it and
+	// resuming it elsewhere takes about a third of it.
+	moveGain = 400 * time.Millisecond
 )
 
 // Running is an item that runs.
 type Running struct {
 	Work   Work
 	Server string
+	// SentAt is when the item was sent to its server.
+	SentAt time.Time
 	// ProgressAt is when the last event came, or the item was sent.
 	ProgressAt time.Time
+	// Leaving is whether the server has announced that it leaves.
+	Leaving bool
 	// Begun is whether an event has come from this server.
 	Begun bool
 }
 
 // Move returns which running items are to be stopped and resumed on another
-// server: those whose server has fallen silent, and those that a slow server
-// would finish later than a faster one with room. An item stays where it is
+// server: those whose server leaves or has fallen silent, and those that a slow
+// server would finish later than a faster one with room. An item stays where it is
 // while no other server has room.
 func Move(now time.Time, running []Running, servers []Server) []Running {
 	fastest := Fastest(servers)
 	var out []Running
 	for _, r := range running {
-		i := pick(Work{Service: r.Work.Service, Model: r.Work.Model, MinVersion: r.Work.MinVersion, Avoid: r.Server}, servers, fastest)
+		i := pick(Work{Service: r.Work.Service, Model: r.Work.Model, MinVersion: r.Work.MinVersion, Avoid: r.Server}, servers, fastest, true)
 		if i < 0 || servers[i].ID == r.Server || servers[i].Busy {
 			continue
 		}
-		if silent(now, r) || gains(r, servers, servers[i], fastest) {
+		if r.Leaving || silent(now, r) || now.Sub(r.SentAt) > settleTime && gains(r, servers, servers[i], fastest) {
 			servers[i].Free--
 			out = append(out, r)
 		}
@@ -56,11 +64,13 @@
 		if s.ID != r.Server {
 			continue
 		}
-		if !s.Slow(fastest) || to.Slow(fastest) {
+		if to.Slow(fastest) {
 			return false
 		}
-		pace := max(to.Pace, fastest)
-		return time.Duration(r.Work.Remaining)*(s.Pace-pace) > moveCost
+		// The item itself is part of its server's load.
+		here := Server{Pace: s.Pace, Load: s.Load - 1}
+		saved := here.expected(fastest) - to.expected(fastest)
+		return time.Duration(r.Work.Remaining)*saved > moveGain
 	}
 	return false
 }
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -7,11 +7,17 @@
 // slack goes first: the time left until its job is due, less the time that it
 // still needs. So the longest items of a new job start before the shorter ones
 // of an older job, unless these run late themselves.
+//
+// A step ends with its longest items, and a server makes the tokens of each run
+// the faster the fewer it runs. So about half of the servers are kept for long
+// items as long as the short ones, which end early anyway, need not hurry.
 package schedule
 
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -21,6 +27,19 @@
 	// slowFactor is how much slower than the fastest a server may be before it
 	// gets work only if no other has room.
 	slowFactor = 2
+	// loadFactor is the part by which each further item slows a server down.
+	loadFactor = 0.025
+	// alikeFactor is the difference of paces up to which servers count as
+	// equally fast.
+	alikeFactor = 1.15
+	// longTime is the time that an item must still need to count as long.
+	longTime = 1500 * time.Millisecond
+	// longShare is the part of the servers that is kept for long items.
+	longShare = 0.5
+	// hurryWait and hurrySlack are when a short item takes any server: after
+	// some wait, or when its job is due soon.
+	hurryWait  = 500 * time.Millisecond
+	hurrySlack = 3 * time.Second
 )
 
 // Work is an item that waits to be run.
@@ -38,6 +57,8 @@
 	Remaining int
 	// NotBefore is when the item may be tried again; zero is at once.
 	NotBefore time.Time
+	// ReadyAt is when the item last began to wait.
+	ReadyAt time.Time
 	// Avoid is a server that failed the item; empty for none.
 	Avoid string
 }
@@ -50,10 +71,16 @@
 	Version func(model string) int
 	// Free is how many more items this daemon may run on it.
 	Free int
-	// Pace is the time that a token takes; 0 is unknown.
+	// Load is the number of items that all daemons run on it, as far as known.
+	Load int
+	// Pace is the time that a token takes while the server runs little else; 0
+	// is unknown.
 	Pace time.Duration
 	// Busy is whether the server is loading weights.
 	Busy bool
+
+	// long is whether the server is kept for long items.
+	long bool
 }
 
 // Placement sends an item to a server.
@@ -68,8 +95,18 @@
 	return w.DueAt.Sub(now) - time.Duration(w.Remaining)*DefaultPace
 }
 
+// long reports whether an item is one of those that end a step.
+func (w Work) long() bool {
+	return time.Duration(w.Remaining)*DefaultPace > longTime
+}
+
+// hurries reports whether a short item takes any server.
+func (w Work) hurries(now time.Time) bool {
+	return now.Sub(w.ReadyAt) > hurryWait || w.Slack(now) < hurrySlack
+}
+
 // Place returns which of the waiting items start now, and where. It changes
-// Free of the servers accordingly.
+// Free and Load of the servers accordingly.
 func Place(now time.Time, waiting []Work, servers []Server) []Placement {
 	ready := make([]Work, 0, len(waiting))
 	for _, w := range waiting {
@@ -79,18 +116,48 @@
 	}
 	slices.SortStableFunc(ready, func(a, b Work) int { return int(a.Slack(now)/time.Millisecond - b.Slack(now)/time.Millisecond) })
 	fastest := Fastest(servers)
+	reserve(servers, fastest)
 	var out []Placement
 	for _, w := range ready {
-		i := pick(w, servers, fastest)
+		i := pick(w, servers, fastest, w.long() || w.hurries(now))
 		if i < 0 {
 			continue
 		}
 		servers[i].Free--
+		servers[i].Load++
 		out = append(out, Placement{Work: w, Server: servers[i].ID})
 	}
 	return out
 }
 
+// reserve keeps servers for long items, the same whichever daemon decides, as
+// far as all know the same servers.
+func reserve(servers []Server, fastest time.Duration) {
+	order := make([]int, 0, len(servers))
+	for i, s := range servers {
+		servers[i].long = false
+		if !s.Slow(fastest) && !s.Busy {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		if x, y := servers[a].alike(fastest), servers[b].alike(fastest); x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		x, y := xxhash.Sum64String(servers[a].ID), xxhash.Sum64String(servers[b].ID)
+		if x < y {
+			return -1
+		}
+		return 1
+	})
+	for _, i := range order[:int(longShare*float64(len(order)))] {
+		servers[i].long = true
+	}
+}
+
 // Fastest returns the pace of the fastest server.
 func Fastest(servers []Server) time.Duration {
 	best := time.Duration(0)
@@ -105,16 +172,34 @@
 	return best
 }
 
+// Base returns the pace of a server that runs little else, given the pace that
+// was seen while it ran a number of items.
+func Base(seen time.Duration, load int) time.Duration {
+	return time.Duration(float64(seen) / (1 + loadFactor*float64(load)))
+}
+
+// alike reports whether a server is about as fast as the fastest. One of which
+// nothing is known is taken to be.
+func (s Server) alike(fastest time.Duration) bool {
+	return float64(s.Pace) <= alikeFactor*float64(fastest)
+}
+
+// expected returns the pace that one more item will have.
+func (s Server) expected(fastest time.Duration) time.Duration {
+	return time.Duration(float64(max(s.Pace, fastest)) * (1 + loadFactor*float64(s.Load+1)))
+}
+
 // Slow reports whether a server is much slower than the fastest.
 func (s Server) Slow(fastest time.Duration) bool {
 	return s.Pace > slowFactor*fastest
 }
 
-// pick returns the index of the best server for an item, or -1.
-func pick(w Work, servers []Server, fastest time.Duration) int {
+// pick returns the index of the best server for an item, or -1. Only if reserved
+// is set may it be one that is kept for long items.
+func pick(w Work, servers []Server, fastest time.Duration, reserved bool) int {
 	best := -1
 	for i, s := range servers {
-		if !s.runs(w) || s.Free < 1 {
+		if !s.runs(w) || s.Free < 1 || s.long && !reserved {
 			continue
 		}
 		if best < 0 || better(w, s, servers[best], fastest) {
@@ -140,6 +225,15 @@
 	if a.Slow(fastest) != b.Slow(fastest) {
 		return b.Slow(fastest)
 	}
+	if a.long != b.long {
+		return a.long == w.long()
+	}
+	if x, y := a.expected(fastest), b.expected(fastest); w.long() && x != y {
+		return x < y
+	}
+	if a.Load != b.Load {
+		return a.Load < b.Load
+	}
 	if a.Free != b.Free {
 		return a.Free > b.Free
 	}
--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,8 +16,9 @@
 	return schedule.Server{ID: id, Service: "s", Free: free, Version: func(string) int { return version }}
 }
 
+// work is an item that has waited long enough to take any server.
 func work(id string, remaining int, due time.Duration) schedule.Work {
-	return schedule.Work{ID: id, Service: "s", Model: "m", MinVersion: 1, Remaining: remaining, DueAt: start.Add(due)}
+	return schedule.Work{ReadyAt: start.Add(-time.Minute), ID: id, Service: "s", Model: "m", MinVersion: 1, Remaining: remaining, DueAt: start.Add(due)}
 }
 
 func TestPlaceStartsTheLeastSlackFirst(t *testing.T) {
@@ -52,6 +54,51 @@
 	must.Eq(t, "good", got[0].Server)
 }
 
+// TestShortItemsLeaveServersToLongOnes replays the start of a step: many short
+// items and two long ones, with plenty of places.
+func TestShortItemsLeaveServersToLongOnes(t *testing.T) {
+	var waiting []schedule.Work
+	for i := range 30 {
+		w := work(strconv.Itoa(i), 300, 8*time.Second)
+		w.ReadyAt = start
+		waiting = append(waiting, w)
+	}
+	for _, id := range []string{"long-1", "long-2"} {
+		waiting = append(waiting, work(id, 8000, 8*time.Second))
+	}
+	servers := []schedule.Server{server("a", 12, 1), server("b", 12, 1), server("c", 12, 1), server("d", 12, 1)}
+	with := make(map[string]int)
+	at := make(map[string]string)
+	for _, p := range schedule.Place(start, waiting, servers) {
+		with[p.Server]++
+		at[p.Work.ID] = p.Server
+	}
+	must.NotEq(t, at["long-1"], at["long-2"])
+	must.Eq(t, 1, with[at["long-1"]])
+	must.Eq(t, 1, with[at["long-2"]])
+	// Those that found no place take any once they have waited.
+	later := schedule.Place(start.Add(time.Second), waiting[24:30], servers)
+	must.Len(t, 6, later)
+}
+
+func TestLongItemsTakeTheFasterServers(t *testing.T) {
+	slower, fast := server("slower", 12, 1), server("fast", 12, 1)
+	slower.Pace, fast.Pace = 13*time.Millisecond/10, time.Millisecond
+	fast.Load = 5
+	got := schedule.Place(start, []schedule.Work{work("x", 9000, 8*time.Second)}, []schedule.Server{slower, fast})
+	must.Eq(t, "fast", got[0].Server)
+	// A long item on the slower one moves when a place is free on the other.
+	r := schedule.Running{Work: work("x", 5000, 8*time.Second), Server: "slower", ProgressAt: start, Begun: true}
+	must.Len(t, 1, schedule.Move(start, []schedule.Running{r}, []schedule.Server{slower, fast}))
+	r.Work.Remaining = 500
+	must.Len(t, 0, schedule.Move(start, []schedule.Running{r}, []schedule.Server{slower, fast}))
+}
+
+func TestMoveLeavesAServerThatLeaves(t *testing.T) {
+	r := schedule.Running{Work: work("x", 1000, time.Second), Server: "gone", ProgressAt: start, Begun: true, Leaving: true}
+	must.Len(t, 1, schedule.Move(start, []schedule.Running{r}, []schedule.Server{server("b", 1, 1)}))
+}
+
 func TestPlaceWaitsBeforeARetry(t *testing.T) {
 	w := work("x", 10, time.Second)
 	w.NotBefore = start.Add(time.Millisecond)
--- a/internal/daemon/command/command.go
+++ b/internal/daemon/command/command.go
@@ -53,7 +53,7 @@
 	// Serve runs a daemon until the context ends and the daemon has drained.
 	Serve func(ctx context.Context, s settings.Settings) error
 	// Front runs a daemon on the users' platform.
-	Front  func(ctx context.Context, s front.Settings) error
+	Front  func(ctx context.Context, file string, s front.Settings) error
 	Stdout io.Writer
 	Stderr io.Writer
 }
--- a/internal/daemon/command/front.go
+++ b/internal/daemon/command/front.go
@@ -19,6 +19,6 @@
 		if s.Front == nil {
 			return fail(ExitFailed, errors.New("this program has no platform"))
 		}
-		return fail(ExitFailed, s.Front(s.ctx, p))
+		return fail(ExitFailed, s.Front(s.ctx, *file, p))
 	})
 }
--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -88,11 +88,13 @@
 	Slots   int
 }
 
-// Order asks a server to load a version of a model's weights, while its runs go
-// on.
+// Order asks a server to load a version of a model's weights.
 type Order struct {
 	Model   string
 	Version int
+	// FinishRuns has the server finish its runs first; else it ends their
+	// streams.
+	FinishRuns bool
 	// Holder and Fence identify who gives the order.
 	Holder string
 	Fence  int64
--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -116,6 +116,8 @@
 // Mark is a checkpoint: a stretch of the events of an item.
 type Mark struct {
 	Item string
+	// Lineage names the run that began the text, and all that resumed it.
+	Lineage string
 	// From is the last event before the stretch, and To its last one.
 	From int
 	To   int
@@ -128,11 +130,13 @@
 
 // name orders the marks of an item.
 func (m Mark) name() string {
-	return fmt.Sprintf("%s/%06d", m.Item, m.From)
+	return fmt.Sprintf("%s/%s/%06d", m.Item, m.Lineage, m.From)
 }
 
 // Progress is what is known of an item's output.
 type Progress struct {
+	// Lineage is empty before the first event.
+	Lineage string
 	// After is the last event in Data.
 	After   int
 	Data    []string
@@ -141,20 +145,29 @@
 	Failures int
 }
 
-// join adds up an item's marks, given in order. A mark that does not follow on
-// the one before was written by another run and is left out.
+// join adds up an item's marks, given in order of their names, and returns the
+// longest text of one lineage. A mark that does not follow on the one before was
+// written by a second run of the lineage and is left out.
 func join(marks []Mark) Progress {
-	var p Progress
+	var best, p Progress
+	failures := 0
 	for _, m := range marks {
-		p.Failures = max(p.Failures, m.Failures)
+		failures = max(failures, m.Failures)
+		if m.Lineage != p.Lineage {
+			p = Progress{Lineage: m.Lineage}
+		}
 		if m.From != p.After {
 			continue
 		}
 		p.After = m.To
 		p.Data = append(p.Data, m.Data...)
 		p.Weights = union(p.Weights, m.Weights)
+		if p.After > best.After {
+			best = p
+		}
 	}
-	return p
+	best.Failures = failures
+	return best
 }
 
 // union returns the versions of both lists in ascending order.
--- a/internal/front/batch/listing_test.go
+++ b/internal/front/batch/listing_test.go
@@ -89,4 +89,11 @@
 	must.Eq(t, 3, p.After)
 	must.Eq(t, []string{"a", "b", "c"}, p.Data)
 	must.Eq(t, []int{4, 5}, p.Weights)
+	// Of two lineages the longer counts.
+	p = join([]Mark{
+		{Lineage: "a", From: 0, To: 1, Data: []string{"a"}},
+		{Lineage: "b", From: 0, To: 1, Data: []string{"x"}},
+		{Lineage: "b", From: 1, To: 2, Data: []string{"y"}},
+	})
+	must.Eq(t, []string{"x", "y"}, p.Data)
 }
--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -106,6 +107,6 @@
 func (j *job) receive(items []Item, done map[string]bool, marks map[string][]Mark) {
 	for _, i := range items {
 		p := join(marks[i.ID])
-		j.items[i.ID] = &item{Item: i, progress: p, marked: p.After, done: done[i.ID]}
+		j.items[i.ID] = &item{Item: i, progress: p, marked: p.After, done: done[i.ID], readyAt: time.Now()}
 	}
 }
--- a/internal/front/batch/pace.go
+++ b/internal/front/batch/pace.go
@@ -5,8 +5,8 @@
 const (
 	// paceWeight is the weight of a new sample in a server's pace.
 	paceWeight = 0.15
-	// tokensPerEvent is taken until the events of a deployment were counted.
-	tokensPerEvent = 59
+	// recentFor is how long a pace is told to the other daemons.
+	recentFor = 3 * time.Second
 	// lapEvents is the number of events over which a pace is taken: single ones
 	// may come late and together.
 	lapEvents = 6
@@ -19,6 +19,8 @@
 type paces struct {
 	// events holds the average time between two events.
 	events map[string]time.Duration
+	// seenAt holds when the newest of them was seen.
+	seenAt map[string]time.Time
 	// until holds the instants up to which servers get no items.
 	until map[string]time.Time
 }
@@ -51,7 +53,9 @@
 func (p *paces) saw(id string, d time.Duration) {
 	if p.events == nil {
 		p.events = make(map[string]time.Duration)
+		p.seenAt = make(map[string]time.Time)
 	}
+	p.seenAt[id] = time.Now()
 	old, ok := p.events[id]
 	if !ok {
 		p.events[id] = d
@@ -60,14 +64,15 @@
 	p.events[id] = old + time.Duration(paceWeight*float64(d-old))
 }
 
-// pace returns the time that a token takes, 0 if unknown.
-func (p *paces) pace(id string) time.Duration {
-	return p.events[id] / tokensPerEvent
-}
-
-// tokens returns the number of tokens in a number of events.
-func (p *paces) tokens(events int) int {
-	return events * tokensPerEvent
+// recent returns the average times between two events that were seen lately.
+func (p *paces) recent() map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for id, d := range p.events {
+		if time.Since(p.seenAt[id]) < recentFor {
+			out[id] = d
+		}
+	}
+	return out
 }
 
 // rest keeps items away from a server for a while.
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/sse"
@@ -33,6 +35,10 @@
 // errStale says that a server runs weights that are too old for an item.
 var errStale = errors.New("batch: weights too old")
 
+// errMixed says that a result would be made under two versions of the weights,
+// which its route forbids: it begins anew.
+var errMixed = errors.New("batch: weights changed")
+
 // start runs an item on a server. It is called with the mutex held.
 func (r *Runner) start(ctx context.Context, p schedule.Placement) {
 	s, ok := r.fleet.Servers().Get(p.Server)
@@ -46,6 +52,9 @@
 		}
 		c, cancel := context.WithCancel(ctx)
 		i.stop, i.server, i.begun, i.moving, i.lap = cancel, s.ID, false, false, lap{}
+		i.lastServer = s.ID
+		i.runs++
+		i.waited += time.Since(i.readyAt)
 		i.sentAt, i.progressAt = time.Now(), time.Now()
 		r.work.Add(1)
 		go r.run(c, j, i, s)
@@ -61,7 +70,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	i.stop()
-	i.stop, i.server = nil, ""
+	i.stop, i.server, i.readyAt = nil, "", time.Now()
 	if j.ended || i.done {
 		return
 	}
@@ -116,6 +125,9 @@
 	}
 	result := Result{ID: i.ID, State: s}
 	if s == Completed {
+		r.log.Info("item completed", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", i.lastServer),
+			zap.Int("Events", i.progress.After), zap.Int("Runs", i.runs), zap.Int("Tokens", i.Tokens),
+			zap.Duration("Waited", i.waited), zap.Ints("Weights", i.progress.Weights))
 		result.Text = strings.Join(i.progress.Data, "\n")
 		result.Weights = i.progress.Weights
 	} else {
@@ -174,22 +186,31 @@
 			weights = v
 			r.fleet.SawLoaded(s.ID, j.head.Model, v)
 		}
-		if err := r.append(i, s, e, weights); err != nil {
+		if err := r.append(j, i, s, e, weights); err != nil {
 			return err
 		}
 	}
 }
 
 // append adds an event to an item.
-func (r *Runner) append(i *item, s backend.Server, e sse.Event, weights int) error {
+func (r *Runner) append(j *job, i *item, s backend.Server, e sse.Event, weights int) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if e.ID != i.progress.After+1 {
 		return errors.Wrapf(backend.ErrCut, "event %d after %d", e.ID, i.progress.After)
 	}
+	if r.mixes(j, i, weights) {
+		i.progress = Progress{Failures: i.progress.Failures}
+		i.marked = 0
+		return errors.Wrapf(errMixed, "version %d", weights)
+	}
 	now := time.Now()
+	if i.progress.After == 0 {
+		r.runs++
+		i.progress.Lineage = r.self + "-" + strconv.Itoa(r.runs)
+	}
 	if d, ok := i.lap.event(now); ok {
-		r.paces.saw(s.ID, d)
+		r.paces.saw(s.ID, schedule.Base(d, r.loads[s.ID]))
 	}
 	i.begun, i.progressAt = true, now
 	i.progress.After = e.ID
@@ -198,12 +219,25 @@
 	return nil
 }
 
+// mixes reports whether an event would bring a second version of the weights
+// into a result that may have only one.
+func (r *Runner) mixes(j *job, i *item, weights int) bool {
+	if len(i.progress.Weights) == 0 || slices.Contains(i.progress.Weights, weights) {
+		return false
+	}
+	target, ok := r.route(j, i)
+	return ok && target.SingleVersion
+}
+
+// route returns the route of an item by the configuration in force.
+func (r *Runner) route(j *job, i *item) (route.Route, bool) {
+	return r.fleet.Config().Route(j.head.Host, path(i.Target))
+}
+
 // maxAttempts returns how many failed attempts an item may have.
 func (r *Runner) maxAttempts(j *job, i *item) int {
-	if c := r.fleet.Config(); c != nil {
-		if route, ok := c.Route(j.head.Host, path(i.Target)); ok {
-			return route.MaxServers
-		}
+	if target, ok := r.route(j, i); ok {
+		return target.MaxServers
 	}
 	return 1
 }
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,9 +45,13 @@
 	// leaving is set once no item is to be started any more.
 	leaving bool
 	paces   paces
+	// loads are the items that all daemons run on each server.
+	loads map[string]int
 	// pages counts the pages that this daemon has written.
 	pages int
-	work  sync.WaitGroup
+	// runs counts the texts that this daemon has begun.
+	runs int
+	work sync.WaitGroup
 }
 
 // job is an open job.
@@ -73,7 +78,13 @@
 
 	progress Progress
 	// marked is the last event that a checkpoint holds.
-	marked    int
+	marked int
+	// lastServer, runs and waited tell for the log how the item fared here.
+	lastServer string
+	runs       int
+	waited     time.Duration
+	// readyAt is when the item began to wait.
+	readyAt   time.Time
 	notBefore time.Time
 	avoid     string
 	// stop ends the run; nil while none runs.
@@ -342,14 +353,17 @@
 func (r *Runner) servers() []schedule.Server {
 	members := r.fleet.Members().Staying()
 	rank := slices.IndexFunc(members, func(m fleet.Member) bool { return m.ID == r.self })
-	used := make(map[string]int)
-	for _, j := range r.jobs {
-		for _, i := range j.items {
-			if i.server != "" {
-				used[i.server]++
-			}
+	used := r.running()
+	load := maps.Clone(used)
+	for _, m := range members {
+		if m.ID == r.self {
+			continue
+		}
+		for id, n := range m.Running {
+			load[id] += n
 		}
 	}
+	r.loads = load
 	var out []schedule.Server
 	for _, s := range r.fleet.Servers().List {
 		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
@@ -357,13 +371,52 @@
 		}
 		quota := schedule.Quota(s.Slots, rank, len(members), rotation(s.ID))
 		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Pace: r.paces.pace(s.ID),
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
 			Version: func(model string) int { return r.fleet.Loaded(s, model) },
 		})
 	}
 	return out
 }
 
+// Paces returns the time between two events on each server that this daemon
+// knows well.
+func (r *Runner) Paces() map[string]time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.paces.recent()
+}
+
+// pace returns the time that a token takes on a server, as seen by this daemon
+// or else by the others.
+func (r *Runner) pace(id string, members []fleet.Member) time.Duration {
+	event := r.paces.events[id]
+	if event == 0 {
+		for _, m := range members {
+			event = max(event, m.Paces[id])
+		}
+	}
+	return event / time.Duration(r.tokensPerEvent())
+}
+
+// Running returns the number of items that this daemon runs on each server.
+func (r *Runner) Running() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.running()
+}
+
+func (r *Runner) running() map[string]int {
+	out := make(map[string]int)
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if i.server != "" {
+				out[i.server]++
+			}
+		}
+	}
+	return out
+}
+
 // waiting returns the items that wait.
 func (r *Runner) waiting() []schedule.Work {
 	var out []schedule.Work
@@ -372,8 +425,13 @@
 			continue
 		}
 		for _, i := range j.items {
-			if !i.done && i.stop == nil {
-				out = append(out, r.describe(j, i))
+			if i.done || i.stop != nil {
+				continue
+			}
+			if w := r.describe(j, i); w.Service != "" {
+				out = append(out, w)
+			} else if r.fleet.Config() != nil {
+				r.finish(j, i, Abandoned, "no route")
 			}
 		}
 	}
@@ -385,20 +443,36 @@
 	w := schedule.Work{
 		ID: i.ID, Group: i.Group, Model: j.head.Model, MinVersion: j.head.MinVersion,
 		DueAt: r.local(j.head.DueAt), NotBefore: i.notBefore, Avoid: i.avoid,
-		Remaining: max(minRemaining, expected(i.Tokens, i.Limit)-r.paces.tokens(i.progress.After)),
+		Remaining: r.remaining(i), ReadyAt: i.readyAt,
 	}
-	if c := r.fleet.Config(); c != nil {
-		if route, ok := c.Route(j.head.Host, path(i.Target)); ok {
-			w.Service = route.Service(i.ID)
-		}
+	if target, ok := r.route(j, i); ok {
+		w.Service = target.Service(i.ID)
 	}
 	return w
 }
 
-// minRemaining is the number of tokens that an item is taken to lack when it
-// has outlasted what was expected.
+// minRemaining is the number of tokens that an item is taken to lack at least.
 const minRemaining = 200
 
+// remaining returns the number of tokens that an item is expected to lack. One
+// that has outlasted what was expected is taken to make half as many more.
+func (r *Runner) remaining(i *item) int {
+	made := i.progress.After * r.tokensPerEvent()
+	return max(minRemaining, expected(i.Tokens, i.Limit)-made, min(made/2, i.Limit-made))
+}
+
+// tokensPerEvent returns the number of tokens in an event.
+func (r *Runner) tokensPerEvent() int {
+	if c := r.fleet.Config(); c != nil {
+		for _, s := range c.Services {
+			if s.TokensPerEvent > 0 {
+				return s.TokensPerEvent
+			}
+		}
+	}
+	return 1
+}
+
 // local converts an instant of the store's clock.
 func (r *Runner) local(ms int64) time.Time {
 	now, ok := r.fleet.Clock.Now()
@@ -409,7 +483,7 @@
 }
 
 // minStay is how long an item stays on a server before it may be moved.
-const minStay = 500 * time.Millisecond
+const minStay = 250 * time.Millisecond
 
 // move stops the running items that are better resumed elsewhere.
 func (r *Runner) move(now time.Time, servers []schedule.Server) {
@@ -421,8 +495,10 @@
 				continue
 			}
 			find[i.ID] = i
+			s, known := r.fleet.Servers().Get(i.server)
 			running = append(running, schedule.Running{
-				Work: r.describe(j, i), Server: i.server, ProgressAt: i.progressAt, Begun: i.begun,
+				Work: r.describe(j, i), Server: i.server, SentAt: i.sentAt, ProgressAt: i.progressAt, Begun: i.begun,
+				Leaving: known && s.Draining,
 			})
 		}
 	}
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -120,7 +120,7 @@
 		}
 		// Events are numbered from 1, so event n stands at n-1.
 		out = append(out, Mark{
-			Item: i.ID, From: i.marked, To: i.progress.After, Data: i.progress.Data[i.marked:],
+			Item: i.ID, Lineage: i.progress.Lineage, From: i.marked, To: i.progress.After, Data: i.progress.Data[i.marked:],
 			Weights: i.progress.Weights, Failures: i.progress.Failures,
 		})
 	}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -57,6 +57,8 @@
 	Scaler   duty.Scaler
 	// Callers returns the handler of callers' requests.
 	Callers func(*forward.Forwarder, *batch.Service, func() bool) http.Handler
+	// Settings hands changed settings over until the context ends.
+	Settings func(ctx context.Context, adopt func(settings.Settings))
 	// Ready returns the handler of the balancer's questions.
 	Ready func(func() bool) http.Handler
 }
@@ -82,6 +84,8 @@
 	forwarder *forward.Forwarder
 	jobs      *batch.Service
 	leaving   atomic.Bool
+	// seeds are those of the newest settings.
+	seeds atomic.Pointer[[]netip.AddrPort]
 }
 
 // Run runs a daemon until the context ends and it has handed its work over.
@@ -118,6 +122,7 @@
 func build(s settings.Settings, p Parts, log *zap.Logger) *daemon {
 	self := s.Machine + "/" + uuid.NewString()[:8]
 	d := &daemon{settings: s, parts: p, log: log, self: self}
+	d.adopt(s)
 	d.calls = wire.NewClient(s.Listen.Peers, dialPeer, &d.counters)
 	d.relay = relay.New(p.Store, d.calls, d.peers, log)
 	d.relay.Handle(&d.mux)
@@ -134,12 +139,18 @@
 	return d
 }
 
+// adopt takes the part of changed settings that can change while a daemon runs.
+func (d *daemon) adopt(s settings.Settings) {
+	d.seeds.Store(&s.Seeds)
+}
+
 // tree returns the supervisor of all that runs in the background.
 func (d *daemon) tree() *suture.Supervisor {
 	t := suture.New("daemon", suture.Spec{EventHook: func(e suture.Event) {
 		d.log.Error("part restarted", zap.String("Event", e.String()))
 	}})
 	t.Add(service{"Peers", d.servePeers})
+	t.Add(service{"Settings", func(ctx context.Context) error { d.parts.Settings(ctx, d.adopt); return nil }})
 	t.Add(service{"Relay", d.relay.Serve})
 	t.Add(service{"Operator", d.fleet.ServeOperator})
 	t.Add(service{"Servers", d.fleet.ServeServers})
@@ -158,7 +169,7 @@
 	return fleet.Member{
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
-		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(),
+		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(),
 	}
 }
 
@@ -181,7 +192,7 @@
 	if len(out) > 0 {
 		return out
 	}
-	for _, a := range d.settings.Seeds {
+	for _, a := range *d.seeds.Load() {
 		if a != d.settings.Listen.Peers {
 			out = append(out, a)
 		}
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -137,12 +137,18 @@
 
 // candidates returns the servers of a service that may load.
 func (w *Weights) candidates(name string, service route.Service) []wave.Server {
+	running := make(map[string]int)
+	for _, m := range w.fleet.Members().List {
+		for id, n := range m.Running {
+			running[id] += n
+		}
+	}
 	var out []wave.Server
 	for _, s := range w.fleet.Servers().List {
 		if s.Service != name || s.Draining {
 			continue
 		}
-		v := wave.Server{ID: s.ID, Versions: make(map[string]int)}
+		v := wave.Server{ID: s.ID, Versions: make(map[string]int), Running: running[s.ID]}
 		for _, m := range service.Models {
 			v.Versions[m] = w.fleet.Loaded(s, m)
 		}
@@ -177,11 +183,23 @@
 		return
 	}
 	o, err := w.client.Give(ctx, s, backend.Order{
-		Model: l.model, Version: l.version, Holder: w.self, Fence: fence, Expected: l.expected,
+		Model: l.model, Version: l.version, FinishRuns: w.singleVersion(s.Service),
+		Holder: w.self, Fence: fence, Expected: l.expected,
 	})
 	w.gave(s, l, o, err)
 }
 
+// singleVersion reports whether a route of a service wants results of one
+// version, so that stopping a run would lose its work.
+func (w *Weights) singleVersion(service string) bool {
+	for _, r := range w.fleet.Config().Routes {
+		if r.SingleVersion && slices.ContainsFunc(r.Services, func(x route.Weighted) bool { return x.Service == service }) {
+			return true
+		}
+	}
+	return false
+}
+
 // gave takes the answer to an order. One without an answer may still be carried
 // out: it counts as a load until its time is over.
 func (w *Weights) gave(s backend.Server, l *load, o backend.Outcome, err error) {
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -45,6 +45,11 @@
 	// Loaded are the versions of weights that the daemon has seen servers
 	// finish loading, while it gives the orders.
 	Loaded map[string]map[string]int
+	// Running counts the items of batch jobs that the daemon runs, by server.
+	Running map[string]int
+	// Paces are the times between two events that the daemon saw lately, by
+	// server.
+	Paces map[string]time.Duration
 }
 
 // Members is an immutable list of the daemons that are alive, in order of their
