Find a peer that reaches the store, and stay with it

Each call asked three peers by a counter that concurrent calls moved, over a list that changed with every death.

The last peer that reached the store is asked first, and one that failed rests. A takeover reads the done items and the checkpoints of a job once instead of once a parcel.

--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 )
 
 // own takes the items that belong to this daemon: those that it was given, and
@@ -16,28 +18,27 @@
 		return
 	}
 	for _, j := range r.jobs {
-		if j.ended {
+		if j.ended || j.loading {
 			continue
 		}
-		for p := range j.head.Parcels {
-			if !j.loading[p] && r.wants(j, p) {
-				j.loading[p] = true
-				r.work.Add(1)
-				go r.load(ctx, j, p)
-			}
+		if parcels := r.wanted(j); len(parcels) > 0 {
+			j.loading = true
+			r.work.Add(1)
+			go r.load(ctx, j, parcels)
 		}
 	}
 }
 
-// wants reports whether an item of a parcel belongs to this daemon and is not
-// held by it.
-func (r *Runner) wants(j *job, parcel int) bool {
+// wanted returns the parcels with items that belong to this daemon and that it
+// does not hold.
+func (r *Runner) wanted(j *job) []int {
+	var out []int
 	for _, h := range j.head.Items {
-		if h.Parcel == parcel && j.items[h.ID] == nil && r.mine(j, h) {
-			return true
+		if j.items[h.ID] == nil && r.mine(j, h) && !slices.Contains(out, h.Parcel) {
+			out = append(out, h.Parcel)
 		}
 	}
-	return false
+	return out
 }
 
 // mine reports whether an item belongs to this daemon.
@@ -49,58 +50,73 @@
 	return members.Pick(h.ID) == r.self
 }
 
-// load reads the items of a parcel that belong to this daemon, and how far they
-// had got.
-func (r *Runner) load(ctx context.Context, j *job, parcel int) {
+// load reads the items of parcels that belong to this daemon.
+func (r *Runner) load(ctx context.Context, j *job, parcels []int) {
 	defer r.work.Done()
-	err := r.loadParcel(ctx, j, parcel)
+	err := r.loadParcels(ctx, j, parcels)
 	r.mutex.Lock()
-	j.loading[parcel] = false
+	j.loading = false
 	r.mutex.Unlock()
 	if err != nil {
-		r.log.Warn("items not read", zap.String("Job", j.head.ID), zap.Int("Parcel", parcel), zap.Error(err))
+		r.log.Warn("items not read", zap.String("Job", j.head.ID), zap.Ints("Parcels", parcels), zap.Error(err))
 		return
 	}
 	r.kick()
 }
 
-func (r *Runner) loadParcel(ctx context.Context, j *job, parcel int) error {
-	items, err := r.ledger.bodies(ctx, j.head.ID, parcel)
-	if err != nil {
-		return err
-	}
+// loadParcels reads the items, and how far they had got unless no other daemon
+// can have run them.
+func (r *Runner) loadParcels(ctx context.Context, j *job, parcels []int) error {
 	var done map[string]bool
 	var marks map[string][]Mark
-	if !j.fresh || j.head.Parcels[parcel].Member != r.self {
-		if done, err = r.ledger.done(ctx, j.head.ID); err != nil {
+	bodies := make([][]Item, len(parcels))
+	g, c := errgroup.WithContext(ctx)
+	g.SetLimit(parallelReads)
+	for i, p := range parcels {
+		g.Go(func() (err error) {
+			bodies[i], err = r.ledger.bodies(c, j.head.ID, p)
 			return err
-		}
-		if marks, err = r.ledger.marks(ctx, j.head.ID); err != nil {
+		})
+	}
+	others := !j.fresh || slices.ContainsFunc(parcels, func(p int) bool { return j.head.Parcels[p].Member != r.self })
+	if others {
+		g.Go(func() (err error) {
+			done, err = r.ledger.done(c, j.head.ID)
 			return err
-		}
+		})
+		g.Go(func() (err error) {
+			marks, err = r.ledger.marks(c, j.head.ID)
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	r.takeItems(j, slices.Concat(bodies...), done, marks)
+	return nil
+}
+
+// takeItems adds those of the items that belong to this daemon.
+func (r *Runner) takeItems(j *job, items []Item, done map[string]bool, marks map[string][]Mark) {
+	read := make(map[string]Item, len(items))
+	for _, i := range items {
+		read[i.ID] = i
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if j.ended {
-		return nil
+		return
 	}
 	var own []Item
 	for _, h := range j.head.Items {
-		if h.Parcel != parcel || j.items[h.ID] != nil || !r.mine(j, h) {
-			continue
-		}
-		for _, i := range items {
-			if i.ID == h.ID {
-				own = append(own, i)
-			}
+		if i, ok := read[h.ID]; ok && j.items[h.ID] == nil && r.mine(j, h) {
+			own = append(own, i)
 		}
 	}
 	j.receive(own, done, marks)
-	if len(marks) > 0 || len(done) > 0 {
-		r.log.Info("items taken over", zap.String("Job", j.head.ID), zap.Int("Items", len(own)),
-			zap.String("From", j.head.Parcels[parcel].Member))
+	if done != nil {
+		r.log.Info("items taken over", zap.String("Job", j.head.ID), zap.Int("Items", len(own)), zap.Int("Done", len(done)))
 	}
-	return nil
 }
 
 // receive adds items that belong to this daemon.
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -62,8 +62,8 @@
 	endedAt time.Time
 	// items are those that belong to this daemon, by ID.
 	items map[string]*item
-	// loading holds the parcels whose items are being read.
-	loading map[int]bool
+	// loading is whether items are being read.
+	loading bool
 	// fresh is whether no other daemon can have run items of the job yet.
 	fresh bool
 	// results wait to be written; writing is whether some are being written.
@@ -198,7 +198,6 @@
 	j := r.add(h)
 	for p, items := range parcels {
 		if h.Parcels[p].Member == r.self {
-			j.loading[p] = true
 			j.receive(items, nil, nil)
 		}
 	}
@@ -210,7 +209,7 @@
 func (r *Runner) add(h Head) *job {
 	j, ok := r.jobs[h.ID]
 	if !ok {
-		j = &job{head: h, items: make(map[string]*item), loading: make(map[int]bool)}
+		j = &job{head: h, items: make(map[string]*item)}
 		now, _ := r.fleet.Clock.Now()
 		j.fresh = now.UnixMilli()-h.SubmittedAt < freshFor.Milliseconds()
 		r.jobs[h.ID] = j
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -23,7 +23,9 @@
 
 const (
 	// maxPeers bounds the peers that are asked for one call.
-	maxPeers = 3
+	maxPeers = 4
+	// peerRest is how long a peer that failed is asked only if no other is left.
+	peerRest = 700 * time.Millisecond
 	// peerTimeout bounds one call through a peer beyond the wait of a feed.
 	peerTimeout = 800 * time.Millisecond
 	// probeInterval is the time between two attempts to reach the store itself
@@ -92,7 +94,11 @@
 	mutex sync.Mutex
 	// away is whether the store itself is not reached.
 	away bool
-	// turn moves on to another peer when one fails.
+	// last is the peer that passed a call on last; zero for none.
+	last netip.AddrPort
+	// restUntil holds when peers that failed are asked again.
+	restUntil map[netip.AddrPort]time.Time
+	// turn spreads the calls over the peers.
 	turn int
 	// heardAt is when a peer last answered.
 	heardAt time.Time
@@ -175,30 +181,73 @@
 
 // viaPeers makes a call through one peer after another.
 func (s *Store) viaPeers(ctx context.Context, c call) (answer, error) {
-	peers := s.peers()
-	err := error(store.ErrUnavailable)
-	for n := range min(maxPeers, len(peers)) {
-		p := peers[(s.turnNow()+n)%len(peers)]
+	for _, p := range s.choices() {
 		b, cancel := context.WithTimeout(ctx, peerTimeout+c.Wait)
 		var a answer
-		callErr := s.caller.Call(b, p, wire.KindStore, c, &a)
+		err := s.caller.Call(b, p, wire.KindStore, c, &a)
 		cancel()
-		if callErr == nil {
-			s.heard()
-		}
-		if callErr == nil && a.err() != store.ErrUnavailable {
-			s.keep(n)
+		reached := err == nil && a.err() != store.ErrUnavailable
+		s.note(p, err == nil, reached)
+		if reached {
 			return a, a.err()
 		}
-		if c.Op == opCommit && errors.Is(callErr, wire.ErrLost) {
-			return answer{}, errors.Wrap(store.ErrUnknown, callErr.Error())
+		if c.Op == opCommit && errors.Is(err, wire.ErrLost) {
+			return answer{}, errors.Wrap(store.ErrUnknown, err.Error())
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	s.nextTurn()
-	return answer{}, err
+	return answer{}, store.ErrUnavailable
+}
+
+// choices returns the peers to ask: first the one that passed a call on last,
+// then those that have not failed lately.
+func (s *Store) choices() []netip.AddrPort {
+	all := s.peers()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	var out, failed []netip.AddrPort
+	if s.last.IsValid() {
+		out = append(out, s.last)
+	}
+	s.turn++
+	for n := range all {
+		p := all[(s.turn+n)%len(all)]
+		switch {
+		case p == s.last:
+		case now.Before(s.restUntil[p]):
+			failed = append(failed, p)
+		default:
+			out = append(out, p)
+		}
+	}
+	if len(out) == 0 {
+		out = failed
+	}
+	return out[:min(maxPeers, len(out))]
+}
+
+// note takes whether a peer answered, and whether it reached the store.
+func (s *Store) note(p netip.AddrPort, answered, reached bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if answered {
+		s.heardAt = time.Now()
+	}
+	if reached {
+		s.last = p
+		delete(s.restUntil, p)
+		return
+	}
+	if s.last == p {
+		s.last = netip.AddrPort{}
+	}
+	if s.restUntil == nil {
+		s.restUntil = make(map[netip.AddrPort]time.Time)
+	}
+	s.restUntil[p] = time.Now().Add(peerRest)
 }
 
 // perform makes a call at the store itself.
@@ -288,28 +337,3 @@
 	}
 	s.away = true
 }
-
-// keep stays with the peer that passed a call on.
-func (s *Store) keep(n int) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.turn += n
-}
-
-func (s *Store) heard() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.heardAt = time.Now()
-}
-
-func (s *Store) nextTurn() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.turn += maxPeers
-}
-
-func (s *Store) turnNow() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.turn
-}
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -127,6 +127,28 @@
 	must.Len(t, 1, s.Rows)
 }
 
+// TestOnePeerThatReachesTheStoreIsFound replays a store that serves one daemon
+// of twelve: each other one finds it and stays with it.
+func TestOnePeerThatReachesTheStoreIsFound(t *testing.T) {
+	stores, ways := fleet(t, 12)
+	for i := range 11 {
+		ways[i].refuse = store.ErrUnavailable
+	}
+	for i := range 11 {
+		var err error
+		for range 3 {
+			if _, err = stores[i].Read(t.Context(), store.Range{Table: "t"}); err == nil {
+				break
+			}
+		}
+		must.NoError(t, err)
+		for range 20 {
+			_, err = stores[i].Read(t.Context(), store.Range{Table: "t"})
+			must.NoError(t, err)
+		}
+	}
+}
+
 func TestStoreThatIsDownForAllIsUnavailable(t *testing.T) {
 	stores, ways := fleet(t, 5)
 	for _, w := range ways {
