--- a/internal/daemon/endtoend/areas_test.go
+++ b/internal/daemon/endtoend/areas_test.go
@@ -10,6 +10,10 @@
 
 const internalPrefix = "github.com/lacewingtally/lacewingtally/internal/"
 
+// adapterPrefix begins the paths of the adapters to the users' platform, which
+// only main packages may import.
+const adapterPrefix = "github.com/lacewingtally/lacewingtally/platform/"
+
 // areas gives what the packages of an area may import, besides those of the
 // area itself and of base.
 var areas = map[string][]string{
@@ -22,7 +26,8 @@
 	"caller":   {"api/", "control/", "platform/", "backend/", "daemon/timeline"},
 	"standin":  {"api/", "platform/", "backend/"},
 	"model":    {"control/", "caller/gate", "backend/", "daemon/timeline"},
-	"daemon":   {"api/", "control/", "platform/", "backend/", "peer/", "caller/"},
+	"daemon":   {"api/", "control/", "platform/", "backend/", "peer/", "caller/", "front/settings"},
+	"front":    {"control/", "daemon/telemetry", "peer/wire"},
 }
 
 // TestAreas checks which area imports which.
@@ -40,6 +45,7 @@
 		}
 		packages++
 		for _, w := range words[1:] {
+			must.False(t, strings.HasPrefix(w, adapterPrefix), must.Sprintf("%s imports %s", path, w))
 			if i, ok := strings.CutPrefix(w, internalPrefix); ok {
 				must.True(t, permitted(i, append([]string{area + "/", "base/"}, allowed...)), must.Sprintf("%s imports %s", path, i))
 			}
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -180,7 +180,7 @@
 	weights := a.Weights
 	for {
 		e, err := events.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -122,7 +122,9 @@
 	<-ctx.Done()
 	d.leave(callers)
 	stop()
-	<-done
+	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
+		d.log.Error("parts not stopped in order", zap.Error(err))
+	}
 	d.calls.Close()
 	if err := ready.Close(); err != nil {
 		d.log.Info("listener not closed", zap.Error(err))
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -70,7 +70,7 @@
 	events := sse.NewReader(a.Body)
 	for {
 		e, err := events.Next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -186,7 +186,7 @@
 		var a answer
 		err := s.caller.Call(b, p, wire.KindStore, c, &a)
 		cancel()
-		reached := err == nil && a.err() != store.ErrUnavailable
+		reached := err == nil && !errors.Is(a.err(), store.ErrUnavailable)
 		s.note(p, err == nil, reached)
 		if reached {
 			return a, a.err()
--- a/internal/front/settings/settings.go
+++ b/internal/front/settings/settings.go
@@ -73,7 +73,7 @@
 	s := Settings{LogLevel: "info"}
 	d := yaml.NewDecoder(bytes.NewReader(b))
 	d.KnownFields(true)
-	if err := d.Decode(&s); err != nil && err != io.EOF {
+	if err := d.Decode(&s); err != nil && !errors.Is(err, io.EOF) {
 		return Settings{}, errors.Wrap(ErrSettings, err.Error())
 	}
 	return s, s.check()
--- a/internal/front/sse/sse.go
+++ b/internal/front/sse/sse.go
@@ -47,7 +47,7 @@
 		line, raw, err := r.line()
 		e.Raw = append(e.Raw, raw...)
 		if err != nil {
-			if err == io.EOF && (begun || line != "") {
+			if errors.Is(err, io.EOF) && (begun || line != "") {
 				return Event{}, ErrTorn
 			}
 			return Event{}, err
@@ -88,7 +88,7 @@
 	for {
 		part, err := r.lines.ReadSlice('\n')
 		line = append(line, part...)
-		if err == bufio.ErrBufferFull && len(line) < maxLine {
+		if errors.Is(err, bufio.ErrBufferFull) && len(line) < maxLine {
 			continue
 		}
 		text := strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r")
