Run items on the strongest daemons, and count windows by the fleet's time of day

Items go to as many of the strongest daemons as find a dozen places each. A daemon may go beyond its own places on a server that is little used.

--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,12 @@
 	Orders int
 }
 
+// Incarnation names one run of a server, for what is known of it must be
+// forgotten when it starts again.
+func (s Server) Incarnation() string {
+	return s.ID + "@" + strconv.FormatInt(s.BornAt.UnixMilli(), 36)
+}
+
 // Request is one attempt of a request to one server.
 type Request struct {
 	ID     string
--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
 // own takes the items that belong to this daemon: those that it was given, and
@@ -17,11 +19,12 @@
 	if r.leaving {
 		return
 	}
+	o := r.owners()
 	for _, j := range r.jobs {
 		if j.ended || j.loading {
 			continue
 		}
-		if parcels := r.wanted(j); len(parcels) > 0 {
+		if parcels := r.wanted(j, o); len(parcels) > 0 {
 			j.loading = true
 			r.work.Add(1)
 			go r.load(ctx, j, parcels)
@@ -31,23 +34,34 @@
 
 // wanted returns the parcels with items that belong to this daemon and that it
 // does not hold.
-func (r *Runner) wanted(j *job) []int {
+func (r *Runner) wanted(j *job, o owners) []int {
 	var out []int
 	for _, h := range j.head.Items {
-		if j.items[h.ID] == nil && r.mine(j, h) && !slices.Contains(out, h.Parcel) {
+		if j.items[h.ID] == nil && o.of(j, h) == r.self && !slices.Contains(out, h.Parcel) {
 			out = append(out, h.Parcel)
 		}
 	}
 	return out
 }
 
-// mine reports whether an item belongs to this daemon.
-func (r *Runner) mine(j *job, h ItemHead) bool {
-	members := r.fleet.Members()
-	if m := j.head.Parcels[h.Parcel].Member; m == r.self || members.Has(m) {
-		return m == r.self
+// owners tells who items belong to, by the daemons that live at one instant.
+type owners struct {
+	members *fleet.Members
+	// runners are those that take the items of the others.
+	runners *fleet.Members
+}
+
+func (r *Runner) owners() owners {
+	m := r.fleet.Members()
+	return owners{members: m, runners: m.Strongest(r.runners())}
+}
+
+// of returns the daemon that an item belongs to.
+func (o owners) of(j *job, h ItemHead) string {
+	if m := j.head.Parcels[h.Parcel].Member; o.members.Has(m) {
+		return m
 	}
-	return members.Pick(h.ID) == r.self
+	return o.runners.Pick(h.ID)
 }
 
 // load reads the items of parcels that belong to this daemon.
@@ -107,9 +121,10 @@
 	if j.ended {
 		return
 	}
+	o := r.owners()
 	var own []Item
 	for _, h := range j.head.Items {
-		if i, ok := read[h.ID]; ok && j.items[h.ID] == nil && r.mine(j, h) {
+		if i, ok := read[h.ID]; ok && j.items[h.ID] == nil && o.of(j, h) == r.self {
 			own = append(own, i)
 		}
 	}
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -157,7 +157,7 @@
 	}
 	defer a.Body.Close()
 	if a.Weights > 0 {
-		r.fleet.SawLoaded(s.ID, j.head.Model, a.Weights)
+		r.fleet.SawLoaded(s.Incarnation(), j.head.Model, a.Weights)
 	}
 	if a.Status != http.StatusOK || a.NotRun {
 		if _, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxDiscard)); err != nil {
@@ -188,7 +188,7 @@
 		}
 		if v, ok := a.NewWeights(e.Fields); ok {
 			weights = v
-			r.fleet.SawLoaded(s.ID, j.head.Model, v)
+			r.fleet.SawLoaded(s.Incarnation(), j.head.Model, v)
 		}
 		if err := r.append(j, i, s, e, weights); err != nil {
 			return err
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -363,7 +363,8 @@
 // servers returns the servers with what room this daemon has on each.
 func (r *Runner) servers() []schedule.Server {
 	members := r.fleet.Members().Staying()
-	rank := slices.IndexFunc(members, func(m fleet.Member) bool { return m.ID == r.self })
+	runners := r.fleet.Members().Strongest(r.runners()).List
+	rank := slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self })
 	used := r.running()
 	load := maps.Clone(used)
 	for _, m := range members {
@@ -380,15 +381,44 @@
 		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
 			continue
 		}
-		quota := schedule.Quota(s.Slots, rank, len(members), rotation(s.ID))
+		free := 0
+		if rank >= 0 {
+			free = schedule.Quota(s.Slots, rank, len(runners), rotation(s.ID)) - used[s.ID]
+		}
+		if free < 1 && float64(load[s.ID]) < spareLoad*float64(s.Slots) {
+			free = 1
+		}
 		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
+			ID: s.ID, Service: s.Service, Free: free, Load: load[s.ID], Pace: r.pace(s.ID, members),
 			Version: func(model string) int { return r.fleet.Loaded(s, model) },
 		})
 	}
 	return out
 }
 
+const (
+	// placesPerRunner is the number of places that one daemon should have of
+	// all servers together, so that it finds one for each of its items.
+	placesPerRunner = 12
+	// minRunners is the number of daemons that run items at least, so that the
+	// loss of one moves few.
+	minRunners = 8
+	// spareLoad is the part of a server's places up to which a daemon may use
+	// more than its own, as far as it knows from the others' heartbeats.
+	spareLoad = 0.7
+)
+
+// runners returns the number of daemons that run items.
+func (r *Runner) runners() int {
+	places := 0
+	for _, s := range r.fleet.Servers().List {
+		if len(s.Weights) > 0 {
+			places += s.Slots
+		}
+	}
+	return max(minRunners, places/placesPerRunner)
+}
+
 // Paces returns the time between two events on each server that this daemon
 // knows well.
 func (r *Runner) Paces() map[string]time.Duration {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -148,7 +148,7 @@
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
 	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
 	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.Demand, self, log)
-	d.meter = duty.NewMeter(d.relay, self, s.Bounds.UsageWindow, log)
+	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
 	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.Rate, self, log)
 	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, p.Metrics, s.Domain, log)
@@ -187,7 +187,7 @@
 	return fleet.Member{
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
-		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(),
+		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(), Ahead: d.fleet.Clock.Ahead(time.Now()),
 	}
 }
 
--- a/internal/front/duty/keeper.go
+++ b/internal/front/duty/keeper.go
@@ -22,6 +22,8 @@
 	dutyName = "conductor"
 	// lookInterval is the time between two looks at a duty held elsewhere.
 	lookInterval = 400 * time.Millisecond
+	// candidates is the number of daemons of which one is the first in line.
+	candidates = 12
 	// keepTimeout bounds one call about the duty.
 	keepTimeout = 500 * time.Millisecond
 )
@@ -99,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	first := k.fleet.Members().Pick(dutyName) == k.tenure.Self
+	first := k.fleet.Members().Strongest(candidates).Pick(dutyName) == k.tenure.Self
 	k.mutex.Lock()
 	if k.row.Holder != k.tenure.Self {
 		k.tenure.Lost()
--- a/internal/front/duty/usage.go
+++ b/internal/front/duty/usage.go
@@ -43,6 +43,7 @@
 // Meter counts the requests that servers began, by window. Use NewMeter. Its
 // methods may be called from any goroutine.
 type Meter struct {
+	fleet  *fleet.State
 	length time.Duration
 	log    *zap.Logger
 	self   string
@@ -54,15 +55,15 @@
 }
 
 // NewMeter returns a Meter for windows of a length.
-func NewMeter(s store.Store, self string, length time.Duration, log *zap.Logger) *Meter {
-	return &Meter{length: length, log: log, self: self, store: s, windows: make(map[int64]Counts)}
+func NewMeter(f *fleet.State, s store.Store, self string, length time.Duration, log *zap.Logger) *Meter {
+	return &Meter{fleet: f, length: length, log: log, self: self, store: s, windows: make(map[int64]Counts)}
 }
 
-// Count adds a request.
-func (m *Meter) Count(workspace string, at time.Time) {
+// Count adds a request that began a while ago.
+func (m *Meter) Count(workspace string, ago time.Duration) {
+	w := windowAt(m.fleet.Day().Add(-ago), m.length)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	w := windowAt(at, m.length)
 	if m.windows[w] == nil {
 		m.windows[w] = make(Counts)
 	}
@@ -104,7 +105,7 @@
 		return nil, nil
 	}
 	m.changed = false
-	oldest := windowAt(time.Now(), m.length) - keepWindows
+	oldest := windowAt(m.fleet.Day(), m.length) - keepWindows
 	for w := range m.windows {
 		if w < oldest {
 			delete(m.windows, w)
@@ -154,7 +155,7 @@
 func (u *Usage) step(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
-	now := time.Now()
+	now := u.fleet.Day()
 	if u.next == 0 {
 		next, err := u.resume(ctx, now)
 		if err != nil {
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -44,8 +44,8 @@
 	mutex sync.Mutex
 	// loads are the orders that are being carried out, or may be, by server.
 	loads map[string]*load
-	// loaded holds the versions that finished loads brought, by server and
-	// model.
+	// loaded holds the versions that finished loads brought, by incarnation of
+	// a server and model.
 	loaded map[string]map[string]int
 }
 
@@ -209,7 +209,7 @@
 	defer w.mutex.Unlock()
 	switch {
 	case err == nil && o == backend.Holds:
-		w.finished(s.ID, l)
+		w.finished(s, l)
 	case err == nil && o == backend.Refused:
 		l.refused = true
 		l.orderAt = time.Now().Add(refusedWait - loadTimeout)
@@ -224,7 +224,7 @@
 		case !ok || now.Sub(l.orderAt) > loadTimeout:
 			delete(w.loads, id)
 		case w.fleet.Loaded(s, l.model) >= l.version:
-			w.finished(id, l)
+			w.finished(s, l)
 		case !l.refused && now.After(l.askAt):
 			l.askAt = now.Add(askInterval)
 			go w.ask(ctx, s, l)
@@ -244,15 +244,16 @@
 	if status.Weights[l.model] >= l.version && !status.Busy {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
-		w.finished(s.ID, l)
+		w.finished(s, l)
 	}
 }
 
 // finished takes the end of a load. It is called with the mutex held.
-func (w *Weights) finished(id string, l *load) {
-	if w.loads[id] == l {
-		delete(w.loads, id)
+func (w *Weights) finished(s backend.Server, l *load) {
+	if w.loads[s.ID] == l {
+		delete(w.loads, s.ID)
 	}
+	id := s.Incarnation()
 	if w.loaded[id] == nil {
 		w.loaded[id] = make(map[string]int)
 	}
--- a/internal/front/fleet/clock.go
+++ b/internal/front/fleet/clock.go
@@ -38,6 +38,16 @@
 	return s.now.Add(Uptime() - s.at), true
 }
 
+// Ahead returns by how much a time of day is ahead of the store's clock, 0
+// before the first answer.
+func (s *StoreClock) Ahead(now time.Time) time.Duration {
+	stored, ok := s.Now()
+	if !ok {
+		return 0
+	}
+	return now.Round(0).Sub(stored)
+}
+
 // Saw takes the reading of an answer to a call that was sent at an uptime.
 func (s *StoreClock) Saw(now time.Time, sentAt time.Duration) {
 	s.mutex.Lock()
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -62,7 +62,7 @@
 	// answeredAt is the uptime at which the last answered call was sent.
 	answeredAt time.Duration
 	reachable  bool
-	// loaded holds the versions that servers were seen to run, by server and model.
+	// loaded holds the versions that servers were seen to run, by incarnation and model.
 	loaded map[string]map[string]int
 	// operatorRows and serverRows are the rows last read, for peers.
 	operatorRows map[string]store.Row
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -47,6 +48,9 @@
 	Loaded map[string]map[string]int
 	// Running counts the items of batch jobs that the daemon runs, by server.
 	Running map[string]int
+	// Ahead is by how much the daemon's time of day is ahead of the store's
+	// clock, which has another origin; 0 is not known.
+	Ahead time.Duration
 	// Paces are the times between two events that the daemon saw lately, by
 	// server.
 	Paces map[string]time.Duration
@@ -78,6 +82,16 @@
 	return best
 }
 
+// Strongest returns up to n of the daemons that stay: those with the largest
+// part of a core, the same ones whichever daemon asks.
+func (m *Members) Strongest(n int) *Members {
+	list := m.Staying()
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)))
+	})
+	return &Members{List: list[:min(n, len(list))]}
+}
+
 // Staying returns the daemons that do not shut down.
 func (m *Members) Staying() []Member {
 	var out []Member
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -45,17 +45,17 @@
 func (f *State) Loaded(s backend.Server, model string) int {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return max(s.Weights[model], f.loaded[s.ID][model])
+	return max(s.Weights[model], f.loaded[s.Incarnation()][model])
 }
 
-// SawLoaded takes the version that a server was seen to run.
-func (f *State) SawLoaded(id, model string, version int) {
+// SawLoaded takes the version that an incarnation of a server was seen to run.
+func (f *State) SawLoaded(incarnation, model string, version int) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.loaded[id] == nil {
-		f.loaded[id] = make(map[string]int)
+	if f.loaded[incarnation] == nil {
+		f.loaded[incarnation] = make(map[string]int)
 	}
-	f.loaded[id][model] = max(f.loaded[id][model], version)
+	f.loaded[incarnation][model] = max(f.loaded[incarnation][model], version)
 }
 
 // ServeServers reads the servers until the context ends.
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -47,7 +47,7 @@
 
 // Meter counts requests that servers began.
 type Meter interface {
-	Count(workspace string, at time.Time)
+	Count(workspace string, ago time.Duration)
 }
 
 // Forwarder sends requests to servers. Use New. Its methods may be called from
@@ -138,7 +138,7 @@
 		err = x.whole(ctx)
 	}
 	if x.ran {
-		f.meter.Count(workspace, q.ArrivedAt)
+		f.meter.Count(workspace, time.Since(q.ArrivedAt))
 	}
 	if err != nil {
 		f.log.Info("request failed", zap.String("Request", q.ID), zap.String("Route", r.Name),
