Go beyond one's own places only without any; rest servers that fell silent

Since items may go beyond a daemon's own places on a little used server, all daemons did so at once by heartbeats of 0.3 s ago, and their items waited in the servers' queues.

Only a daemon whose part of a server's places is none may use one beyond it. Live requests that crash servers are not run again after three, and one that all servers refuse is refused after two rounds, within 50 ms.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -6,13 +6,13 @@
 	// firstPatience is how long a server may take to the first event.
 	firstPatience = 700 * time.Millisecond
 	// pausePatience is how long a server may pause between two events.
-	pausePatience = 250 * time.Millisecond
+	pausePatience = 350 * time.Millisecond
 	// settleTime is how long an item stays with a server before it is moved for
 	// speed alone.
 	settleTime = time.Second
 	// moveGain is the least time that moving an item must save. Stopping it and
-	// resuming it elsewhere takes about a third of it.
-	moveGain = 400 * time.Millisecond
+	// resuming it elsewhere takes about a quarter of it.
+	moveGain = 600 * time.Millisecond
 )
 
 // Running is an item that runs.
@@ -41,7 +41,7 @@
 		if i < 0 || servers[i].ID == r.Server || servers[i].Busy {
 			continue
 		}
-		if r.Leaving || silent(now, r) || now.Sub(r.SentAt) > settleTime && gains(r, servers, servers[i], fastest) {
+		if r.Leaving || r.Silent(now) || now.Sub(r.SentAt) > settleTime && gains(r, servers, servers[i], fastest) {
 			servers[i].Free--
 			out = append(out, r)
 		}
@@ -49,7 +49,8 @@
 	return out
 }
 
-func silent(now time.Time, r Running) bool {
+// Silent reports whether the item's server has made nothing for too long.
+func (r Running) Silent(now time.Time) bool {
 	patience := firstPatience
 	if r.Begun {
 		patience = pausePatience
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -381,15 +381,15 @@
 		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
 			continue
 		}
-		free := 0
+		quota := 0
 		if rank >= 0 {
-			free = schedule.Quota(s.Slots, rank, len(runners), rotation(s.ID)) - used[s.ID]
+			quota = schedule.Quota(s.Slots, rank, len(runners), rotation(s.ID))
 		}
-		if free < 1 && float64(load[s.ID]) < spareLoad*float64(s.Slots) {
-			free = 1
+		if quota == 0 && float64(load[s.ID]) < spareLoad*float64(s.Slots) {
+			quota = 1
 		}
 		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: free, Load: load[s.ID], Pace: r.pace(s.ID, members),
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
 			Version: func(model string) int { return r.fleet.Loaded(s, model) },
 		})
 	}
@@ -403,9 +403,10 @@
 	// minRunners is the number of daemons that run items at least, so that the
 	// loss of one moves few.
 	minRunners = 8
-	// spareLoad is the part of a server's places up to which a daemon may use
-	// more than its own, as far as it knows from the others' heartbeats.
-	spareLoad = 0.7
+	// spareLoad is the part of a server's places up to which a daemon without a
+	// place of its own may use one, as far as it knows from the others'
+	// heartbeats.
+	spareLoad = 0.5
 )
 
 // runners returns the number of daemons that run items.
@@ -544,6 +545,10 @@
 	return time.Now().Add(time.UnixMilli(ms).Sub(now))
 }
 
+// silentRest is how long a server that fell silent gets no items from this
+// daemon.
+const silentRest = time.Second
+
 // minStay is how long an item stays on a server before it may be moved.
 const minStay = 250 * time.Millisecond
 
@@ -568,6 +573,9 @@
 		i := find[m.Work.ID]
 		i.avoid, i.moving = m.Server, true
 		i.stop()
+		if m.Silent(now) {
+			r.paces.rest(m.Server, silentRest)
+		}
 		r.log.Info("item moved", zap.String("Item", m.Work.ID), zap.String("From", m.Server),
 			zap.Duration("Silent", now.Sub(m.ProgressAt)), zap.Int("After", i.progress.After))
 	}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -151,7 +151,7 @@
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
 	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.Rate, self, log)
-	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, p.Metrics, s.Domain, log)
+	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, p.Metrics, self, s.Domain, log)
 	return d
 }
 
@@ -188,6 +188,7 @@
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
 		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(), Ahead: d.fleet.Clock.Ahead(time.Now()),
+		Suspects: d.forwarder.Suspects(),
 	}
 }
 
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -48,6 +48,9 @@
 	Loaded map[string]map[string]int
 	// Running counts the items of batch jobs that the daemon runs, by server.
 	Running map[string]int
+	// Suspects counts the servers that the daemon saw fail in the middle of the
+	// same request, by the request's fingerprint.
+	Suspects map[uint64]int
 	// Ahead is by how much the daemon's time of day is ahead of the store's
 	// clock, which has another origin; 0 is not known.
 	Ahead time.Duration
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -9,7 +9,9 @@
 
 	"go.uber.org/zap"
 
+	base "github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/telemetry"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
@@ -59,17 +61,21 @@
 	log     *zap.Logger
 	meter   Meter
 	metrics *metrics.Metrics
-	servers balance
+	// self names the daemon among the fleet's.
+	self     string
+	servers  balance
+	suspects suspects
 }
 
 // call is the run of one request.
 type call struct {
 	*Forwarder
 
-	request Request
-	route   route.Route
-	service string
-	sink    Sink
+	request     Request
+	fingerprint quarantine.Fingerprint
+	route       route.Route
+	service     string
+	sink        Sink
 	// tried holds the servers that the request was sent to.
 	tried map[string]bool
 	// ran is whether a server may have begun it.
@@ -78,11 +84,13 @@
 	refused bool
 	// sent counts the servers that may have begun it.
 	sent int
+	// rounds counts how often all servers were tried.
+	rounds int
 }
 
 // New returns a Forwarder of a daemon in a failure domain.
-func New(f *fleet.State, c backend.Client, m Meter, counts *metrics.Metrics, domain string, log *zap.Logger) *Forwarder {
-	return &Forwarder{client: c, domain: domain, fleet: f, log: log, meter: m, metrics: counts}
+func New(f *fleet.State, c backend.Client, m Meter, counts *metrics.Metrics, self, domain string, log *zap.Logger) *Forwarder {
+	return &Forwarder{client: c, domain: domain, fleet: f, log: log, meter: m, metrics: counts, self: self}
 }
 
 // Admit finds the route and the workspace of a request. Its error is a
@@ -130,7 +138,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	x := &call{Forwarder: f, request: q, route: r, service: r.Service(q.ID), sink: s, tried: make(map[string]bool)}
+	fingerprint := quarantine.Of(base.Workspace(workspace), q.Method, q.Target, string(q.Body))
+	if f.condemned(fingerprint) {
+		return refusal.GaveUp(refusal.ReasonQuarantine, time.Now().Add(suspectFor), nil)
+	}
+	x := &call{Forwarder: f, request: q, route: r, service: r.Service(q.ID), sink: s, tried: make(map[string]bool), fingerprint: fingerprint}
 	var err error
 	if r.Kind == route.Stream {
 		err = x.stream(ctx)
--- /dev/null
+++ b/internal/front/forward/forward_test.go
@@ -0,0 +1,190 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/control/route"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+// servers is a backend.Client whose answers a test gives.
+type servers struct {
+	backend.Client
+
+	mutex sync.Mutex
+	sent  []string
+	do    func(ctx context.Context, n int, s backend.Server) (*backend.Response, error)
+}
+
+func (s *servers) Do(ctx context.Context, to backend.Server, _ backend.Request) (*backend.Response, error) {
+	s.mutex.Lock()
+	s.sent = append(s.sent, to.ID)
+	n := len(s.sent)
+	s.mutex.Unlock()
+	return s.do(ctx, n, to)
+}
+
+func ok() *backend.Response {
+	return &backend.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole"))}
+}
+
+func notRun() *backend.Response {
+	return &backend.Response{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}
+}
+
+type noMeter struct{ counted int }
+
+func (m *noMeter) Count(string, time.Duration) { m.counted++ }
+
+// answer takes an answer.
+type answer struct {
+	status int
+	body   string
+}
+
+func (a *answer) Begin(status int, _ http.Header, _ int64) { a.status = status }
+
+func (a *answer) Write(b []byte) error { a.body += string(b); return nil }
+
+// run sends one request on a route of a kind over two servers.
+func run(t *testing.T, kind route.Kind, s *servers) (*noMeter, error) {
+	t.Helper()
+	f, m := newForwarder(t, s)
+	var a answer
+	r := route.Route{Kind: kind, MaxServers: 2, Objective: 200 * time.Millisecond, Patience: 1500 * time.Millisecond,
+		Services: []route.Weighted{{Service: "s", Weight: 1}}}
+	now := time.Now()
+	q := Request{Request: backend.Request{ID: "r", Method: "POST", Deadline: now.Add(2 * time.Second)}, ArrivedAt: now}
+	return m, f.Do(t.Context(), r, "w", q, &a)
+}
+
+func newForwarder(t *testing.T, s *servers) (*Forwarder, *noMeter) {
+	t.Helper()
+	m := &store.Memory{}
+	for _, id := range []string{"a", "b"} {
+		_, err := m.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: "servers", Name: id}, Value: []byte(id)}}})
+		must.NoError(t, err)
+	}
+	state := fleet.New(m, fleet.Codec{ServerTable: "servers", Server: func(id string, _ []byte, _ time.Time) (backend.Server, error) {
+		return backend.Server{ID: id, Service: "s", Slots: 4}, nil
+	}}, zap.NewNop())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- state.ServeServers(ctx) }()
+	synctest.Wait()
+	cancel()
+	must.NoError(t, <-done)
+	meter := &noMeter{}
+	return New(state, s, meter, &metrics.Metrics{}, "self", "d", zap.NewNop()), meter
+}
+
+// refused checks the kind and the reason of a refusal.
+func refused(t *testing.T, err, kind error, r refusal.Reason) {
+	t.Helper()
+	var e *refusal.Error
+	must.True(t, errors.As(err, &e), must.Sprint(err))
+	must.ErrorIs(t, e, kind)
+	must.Eq(t, r, e.Reason)
+}
+
+func TestSilentServerIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(ctx context.Context, n int, _ backend.Server) (*backend.Response, error) {
+			if n == 1 {
+				<-ctx.Done()
+				return nil, backend.ErrCut
+			}
+			return ok(), nil
+		}}
+		start := time.Now()
+		m, err := run(t, route.Safe, s)
+		must.NoError(t, err)
+		must.Eq(t, 90*time.Millisecond, time.Since(start))
+		must.NotEq(t, s.sent[0], s.sent[1])
+		must.Eq(t, 1, m.counted)
+	})
+}
+
+func TestUnsafeRequestRunsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(context.Context, int, backend.Server) (*backend.Response, error) { return nil, backend.ErrCut }}
+		_, err := run(t, route.Unsafe, s)
+		refused(t, err, refusal.ErrMayHaveRun, refusal.ReasonConnectionLost)
+		must.Len(t, 1, s.sent)
+	})
+}
+
+func TestUnsafeRequestThatWasNotRunGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(_ context.Context, n int, _ backend.Server) (*backend.Response, error) {
+			switch n {
+			case 1:
+				return nil, backend.ErrNotSent
+			case 2:
+				return notRun(), nil
+			}
+			return ok(), nil
+		}}
+		_, err := run(t, route.Unsafe, s)
+		must.NoError(t, err)
+		must.Len(t, 3, s.sent)
+	})
+}
+
+// TestRefusalOfARequestThatNoServerTook comes soon, and its promise is true.
+func TestRefusalOfARequestThatNoServerTook(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(context.Context, int, backend.Server) (*backend.Response, error) { return notRun(), nil }}
+		start := time.Now()
+		m, err := run(t, route.Safe, s)
+		refused(t, err, refusal.ErrNotRun, refusal.ReasonOverload)
+		must.LessEq(t, 50*time.Millisecond, time.Since(start))
+		must.Eq(t, 0, m.counted)
+	})
+}
+
+func TestSilentServersEndAtTheRoutesPatience(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(ctx context.Context, _ int, _ backend.Server) (*backend.Response, error) {
+			<-ctx.Done()
+			return nil, backend.ErrCut
+		}}
+		start := time.Now()
+		_, err := run(t, route.Safe, s)
+		refused(t, err, refusal.ErrMayHaveRun, refusal.ReasonDeadline)
+		must.Eq(t, 1500*time.Millisecond, time.Since(start))
+	})
+}
+
+// TestRequestThatCrashesServersIsNotRunAgain replays a request that comes again
+// and again and makes each server fail.
+func TestRequestThatCrashesServersIsNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &servers{do: func(context.Context, int, backend.Server) (*backend.Response, error) { return nil, backend.ErrCut }}
+		f, _ := newForwarder(t, s)
+		r := route.Route{Kind: route.Safe, MaxServers: 2, Patience: time.Second, Services: []route.Weighted{{Service: "s", Weight: 1}}}
+		var err error
+		for range 6 {
+			now := time.Now()
+			q := Request{Request: backend.Request{ID: now.String(), Method: "POST", Target: "/x", Deadline: now.Add(time.Second)}, ArrivedAt: now}
+			err = f.Do(t.Context(), r, "w", q, &answer{})
+		}
+		refused(t, err, refusal.ErrGaveUp, refusal.ReasonQuarantine)
+		must.LessEq(t, 4, len(s.sent))
+	})
+}
--- a/internal/front/forward/whole.go
+++ b/internal/front/forward/whole.go
@@ -26,6 +26,9 @@
 	maxWhole = 4 << 20
 	// retryWait is the wait before all servers are tried once more.
 	retryWait = 30 * time.Millisecond
+	// maxRounds bounds how often all servers are tried. A caller that is
+	// refused soon can come back in time.
+	maxRounds = 2
 )
 
 // errNoServer says that no server is left to try.
@@ -117,7 +120,8 @@
 	if x.ran && (!x.repeatable() || last.status > 0) || x.sent >= x.route.MaxServers {
 		return false
 	}
-	if len(x.tried) == 0 {
+	x.rounds++
+	if len(x.tried) == 0 || x.rounds >= maxRounds {
 		return false
 	}
 	fleet.Sleep(ctx, retryWait)
@@ -174,6 +178,9 @@
 		o := x.attempt(ctx, s)
 		failed := o.err != nil && ctx.Err() == nil || o.notRun
 		x.servers.done(s.ID, time.Since(start), o.load, failed)
+		if errors.Is(o.err, backend.ErrCut) && ctx.Err() == nil {
+			x.suspects.add(x.fingerprint, time.Now())
+		}
 		x.metrics.Attempt(metrics.KindLive, o.name())
 		results <- o
 	}()
