Split the runner into files by job; remove old jobs and what is known of gone servers

Rows of ended jobs were kept for good: one daemon removes them once their results are no longer promised (TestOldJobsAreRemoved). What a daemon knows of gone servers is dropped. The configuration's limit of bodies holds.

--- a/internal/front/batch/pace.go
+++ b/internal/front/batch/pace.go
@@ -1,6 +1,11 @@
 package batch
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+)
 
 const (
 	// paceWeight is the weight of a new sample in a server's pace.
@@ -75,6 +80,17 @@
 	return out
 }
 
+// forget drops servers that are gone.
+func (p *paces) forget(known *fleet.Servers) {
+	gone := func(id string) bool {
+		_, ok := known.Get(id)
+		return !ok
+	}
+	maps.DeleteFunc(p.events, func(id string, _ time.Duration) bool { return gone(id) })
+	maps.DeleteFunc(p.seenAt, func(id string, _ time.Time) bool { return gone(id) })
+	maps.DeleteFunc(p.until, func(id string, _ time.Time) bool { return gone(id) })
+}
+
 // rest keeps items away from a server for a while.
 func (p *paces) rest(id string, d time.Duration) {
 	if p.until == nil {
--- /dev/null
+++ b/internal/front/batch/room.go
@@ -0,0 +1,109 @@
+package batch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+)
+
+const (
+	// placesPerRunner is the number of places that one daemon should have of
+	// all servers together, so that it finds one for each of its items.
+	placesPerRunner = 12
+	// minRunners is the number of daemons that run items at least, so that the
+	// loss of one moves few.
+	minRunners = 8
+	// spareLoad is the part of a server's places up to which a daemon without a
+	// place of its own may use one, as far as it knows from the others'
+	// heartbeats.
+	spareLoad = 0.5
+)
+
+// servers returns the servers with what room this daemon has on each.
+func (r *Runner) servers() []schedule.Server {
+	members := r.fleet.Members().Staying()
+	runners := r.fleet.Members().Strongest(r.runners()).List
+	rank := slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self })
+	used := r.running()
+	load := maps.Clone(used)
+	for _, m := range members {
+		if m.ID == r.self {
+			continue
+		}
+		for id, n := range m.Running {
+			load[id] += n
+		}
+	}
+	r.loads = load
+	var out []schedule.Server
+	for _, s := range r.fleet.Servers().List {
+		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
+			continue
+		}
+		quota := 0
+		if rank >= 0 {
+			quota = schedule.Quota(s.Slots, rank, len(runners), rotation(s.ID))
+		}
+		if quota == 0 && float64(load[s.ID]) < spareLoad*float64(s.Slots) {
+			quota = 1
+		}
+		out = append(out, schedule.Server{
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
+			Version: func(model string) int { return r.fleet.Loaded(s, model) },
+		})
+	}
+	return out
+}
+
+// runners returns the number of daemons that run items.
+func (r *Runner) runners() int {
+	places := 0
+	for _, s := range r.fleet.Servers().List {
+		if len(s.Weights) > 0 {
+			places += s.Slots
+		}
+	}
+	return max(minRunners, places/placesPerRunner)
+}
+
+// Paces returns the time between two events on each server that this daemon
+// knows well.
+func (r *Runner) Paces() map[string]time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.paces.recent()
+}
+
+// pace returns the time that a token takes on a server, as seen by this daemon
+// or else by the others.
+func (r *Runner) pace(id string, members []fleet.Member) time.Duration {
+	event := r.paces.events[id]
+	if event == 0 {
+		for _, m := range members {
+			event = max(event, m.Paces[id])
+		}
+	}
+	return event / time.Duration(r.tokensPerEvent())
+}
+
+// Running returns the number of items that this daemon runs on each server.
+func (r *Runner) Running() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.running()
+}
+
+func (r *Runner) running() map[string]int {
+	out := make(map[string]int)
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if i.server != "" {
+				out[i.server]++
+			}
+		}
+	}
+	return out
+}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -90,6 +90,7 @@
 	scale     *duty.Scale
 	forwarder *forward.Forwarder
 	jobs      *batch.Service
+	sweeper   *batch.Sweeper
 	leaving   atomic.Bool
 	// seeds are those of the newest settings.
 	seeds atomic.Pointer[[]netip.AddrPort]
@@ -146,6 +147,7 @@
 	d.runner.Handle(&d.mux)
 	d.fleet.Handle(&d.mux)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
+	d.sweeper = batch.NewSweeper(d.fleet, ledger, s.Bounds.KeepResults, self, log)
 	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
 	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.Demand, self, log)
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
@@ -179,6 +181,9 @@
 	t.Add(service{"Meter", d.meter.Serve})
 	t.Add(service{"Usage", d.usage.Serve})
 	t.Add(service{"Scale", d.scale.Serve})
+	if d.settings.Bounds.KeepResults > 0 {
+		t.Add(service{"Sweeper", d.sweeper.Serve})
+	}
 	return t
 }
 
@@ -269,10 +274,8 @@
 	end := begun.Add(d.settings.Bounds.Grace - lastWrites)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	handOver, cancelHandOver := context.WithTimeout(ctx, handOverTime)
-	defer cancelHandOver()
-	d.keeper.Release(handOver)
-	d.runner.Leave(handOver, ctx, d.calls)
+	d.keeper.Release(ctx)
+	d.runner.Leave(ctx, begun.Add(handOverTime), d.calls)
 	if err := d.fleet.Heartbeat(ctx, d.member()); err != nil {
 		d.log.Warn("leaving not announced", zap.Error(err))
 	}
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -111,6 +112,7 @@
 	defer w.mutex.Unlock()
 	now := time.Now()
 	w.settle(ctx, now)
+	w.forget()
 	c := w.fleet.Config()
 	if c == nil {
 		return
@@ -124,6 +126,15 @@
 	}
 }
 
+// forget drops servers that are gone. It is called with the mutex held.
+func (w *Weights) forget() {
+	known := make(map[string]bool)
+	for _, s := range w.fleet.Servers().List {
+		known[s.Incarnation()] = true
+	}
+	maps.DeleteFunc(w.loaded, func(incarnation string, _ map[string]int) bool { return !known[incarnation] })
+}
+
 // models returns the models of a service whose versions are named.
 func (w *Weights) models(s route.Service) []wave.Model {
 	var out []wave.Model
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -103,6 +104,18 @@
 		f.log.Info("server "+change.what, zap.String("Server", change.server.ID), zap.String("Service", change.server.Service))
 	}
 	f.servers.Store(d.snapshot())
+	f.forgetLoaded()
+}
+
+// forgetLoaded drops what is known of servers that are gone.
+func (f *State) forgetLoaded() {
+	known := make(map[string]bool)
+	for _, s := range f.Servers().List {
+		known[s.Incarnation()] = true
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	maps.DeleteFunc(f.loaded, func(incarnation string, _ map[string]int) bool { return !known[incarnation] })
 }
 
 // directory decides which servers may be used, from successive reads of their
--- a/internal/front/forward/balance.go
+++ b/internal/front/forward/balance.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +54,9 @@
 			best, bestCost = i, c
 		}
 	}
+	if len(b.seen) > 2*len(servers) {
+		b.forget(servers)
+	}
 	if best < 0 {
 		return backend.Server{}, false
 	}
@@ -59,6 +64,14 @@
 	return servers[best], true
 }
 
+// forget drops servers that are gone and run nothing of this daemon.
+func (b *balance) forget(servers []backend.Server) {
+	maps.DeleteFunc(b.seen, func(id string, r *record) bool {
+		known := slices.ContainsFunc(servers, func(s backend.Server) bool { return s.ID == id })
+		return !known && r.running == 0
+	})
+}
+
 // cost estimates how long a request takes on a server, in milliseconds.
 func (b *balance) cost(s backend.Server, domain string, now time.Time) float64 {
 	r := b.record(s.ID)
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -114,6 +114,15 @@
 	return r, w, nil
 }
 
+// BodyLimit returns how many bytes a request's body may have, 0 if the
+// configuration does not say.
+func (f *Forwarder) BodyLimit() int64 {
+	if c := f.fleet.Config(); c != nil {
+		return c.Limits.BodyBytes
+	}
+	return 0
+}
+
 // Workspace returns the workspace of a key. Its error is a *refusal.Error.
 func (f *Forwarder) Workspace(key string) (string, error) {
 	c := f.fleet.Config()
--- a/internal/front/settings/settings.go
+++ b/internal/front/settings/settings.go
@@ -57,6 +57,9 @@
 	// end the report is due.
 	UsageWindow time.Duration `yaml:"UsageWindow"`
 	UsageLate   time.Duration `yaml:"UsageLate"`
+	// KeepResults is how long an ended job's results can be read after its
+	// submission; 0 keeps them for good.
+	KeepResults time.Duration `yaml:"KeepResults"`
 }
 
 // Load reads a file. Its error is ErrSettings.
