--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -12,8 +12,11 @@
 )
 
 const (
-	// serverInterval is the time between two reads of the servers.
+	// serverInterval is the least time between two reads of the servers, and
+	// serverShare what each server adds to it, so that reading costs about the
+	// same however many there are.
 	serverInterval = 300 * time.Millisecond
+	serverShare    = 5 * time.Millisecond
 	// lapseGrace is how long a server whose row is missing is kept after the
 	// store was away: rows that lapsed meanwhile are written again within it.
 	lapseGrace = 2200 * time.Millisecond
@@ -64,7 +67,7 @@
 	var d directory
 	for ctx.Err() == nil {
 		f.readServers(ctx, &d)
-		Sleep(ctx, serverInterval)
+		Sleep(ctx, max(serverInterval, time.Duration(len(f.Servers().List))*serverShare))
 	}
 	return nil
 }
@@ -91,6 +94,10 @@
 	now := time.Now()
 	var read []backend.Server
 	for _, r := range rows {
+		if v, ok := d.unchanged(r); ok {
+			read = append(read, v)
+			continue
+		}
 		v, err := f.codec.Server(r.Key.Name, r.Value, now)
 		if err != nil {
 			if d.strange(r.Key.Name, r.Version) {
@@ -98,6 +105,7 @@
 			}
 			continue
 		}
+		d.decoded(r, v)
 		read = append(read, v)
 	}
 	for _, change := range d.take(read, sentAt) {
@@ -128,6 +136,22 @@
 	graceUntil time.Duration
 	// ignored holds the versions of rows that are no server's.
 	ignored map[string]int64
+	// versions holds the versions of the rows of servers.
+	versions map[string]int64
+}
+
+// unchanged returns the server of a row that was decoded before.
+func (d *directory) unchanged(r store.Row) (backend.Server, bool) {
+	s, ok := d.servers[r.Key.Name]
+	return s, ok && r.Version > 0 && d.versions[r.Key.Name] == r.Version
+}
+
+// decoded notes that a row was decoded.
+func (d *directory) decoded(r store.Row, s backend.Server) {
+	if d.versions == nil {
+		d.versions = make(map[string]int64)
+	}
+	d.versions[s.ID] = r.Version
 }
 
 // change is what a read brought.
@@ -163,6 +187,7 @@
 			d.servers[id] = s
 			continue
 		}
+		delete(d.versions, id)
 		changes = append(changes, change{"gone", s})
 	}
 	return changes
