Skip the search for places on daemons that hold no item

Cause, by reading: on the grown sites two of three daemons run no items, and each of them sorted all daemons twenty times a second and looked for the owner of each item of each open job ten times a second in a list.

--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -36,8 +36,9 @@
 // does not hold.
 func (r *Runner) wanted(j *job, o owners) []int {
 	var out []int
+	others := o.alive(j, r.self)
 	for _, h := range j.head.Items {
-		if j.items[h.ID] == nil && o.of(j, h) == r.self && !slices.Contains(out, h.Parcel) {
+		if !others[h.Parcel] && j.items[h.ID] == nil && o.of(j, h) == r.self && !slices.Contains(out, h.Parcel) {
 			out = append(out, h.Parcel)
 		}
 	}
@@ -56,6 +57,16 @@
 	return owners{members: m, runners: m.Strongest(r.runners())}
 }
 
+// alive tells for each parcel of a job whether it belongs to a daemon other than
+// self that lives.
+func (o owners) alive(j *job, self string) []bool {
+	out := make([]bool, len(j.head.Parcels))
+	for i, p := range j.head.Parcels {
+		out[i] = p.Member != self && o.members.Has(p.Member)
+	}
+	return out
+}
+
 // of returns the daemon that an item belongs to.
 func (o owners) of(j *job, h ItemHead) string {
 	if m := j.head.Parcels[h.Parcel].Member; o.members.Has(m) {
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -136,7 +136,7 @@
 	r.mutex.Lock()
 	r.forget(now)
 	r.abandonLate()
-	if !r.leaving {
+	if !r.leaving && r.busy() {
 		servers := r.servers()
 		r.move(now, servers)
 		for _, p := range schedule.Place(now, r.waiting(), servers) {
@@ -147,6 +147,18 @@
 	r.listAll(ctx)
 }
 
+// busy reports whether this daemon holds an item that is not done.
+func (r *Runner) busy() bool {
+	for _, j := range r.jobs {
+		for _, i := range j.items {
+			if !i.done {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // forget drops jobs that ended a while ago, and what is known of servers that
 // are gone.
 func (r *Runner) forget(now time.Time) {
