Leave out pages that were written while the index was read

Cause, by reading: an index of more than 500 pages takes several calls. A page written between two of them, by its name before the row at which the second goes on, was missed, while one written after it was seen: positions would have moved.

TestPageWrittenWhileTheIndexIsRead fails without the check (3 results instead of 2) and passes with it.

--- a/internal/front/batch/ledger.go
+++ b/internal/front/batch/ledger.go
@@ -37,6 +37,8 @@
 const (
 	// chunkBytes bounds a row of bodies or results; the store takes 64 KiB.
 	chunkBytes = 48 << 10
+	// maxIndex bounds the rows of an index that one call reads.
+	maxIndex = 500
 	// maxEntries bounds the entries of one transaction.
 	maxEntries = 90
 	// maxTxnBytes bounds the values of one transaction.
@@ -52,6 +54,16 @@
 // Ledger keeps jobs in the store. Its methods may be called from any goroutine.
 type Ledger struct {
 	Store store.Store
+	// Limit bounds the rows of the index that one call reads; 0 is maxIndex.
+	Limit int
+}
+
+// readLimit returns the number of rows of an index to read at a time.
+func (l Ledger) readLimit() int {
+	if l.Limit > 0 {
+		return l.Limit
+	}
+	return maxIndex
 }
 
 // accept writes a new job. Its errors are those of a store; store.ErrConflict
@@ -141,12 +153,17 @@
 func (l Ledger) pages(ctx context.Context, id string) ([]page, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	s, err := store.ReadAll(ctx, l.Store, store.Range{Table: indexTable, Part: id})
+	s, err := store.ReadAll(ctx, l.Store, store.Range{Table: indexTable, Part: id, Limit: l.readLimit()})
 	if err != nil {
 		return nil, err
 	}
 	pages := make([]page, 0, len(s.Rows))
 	for _, r := range s.Rows {
+		if r.Version > s.Version {
+			// Read by a later call than the first rows: a page that was written
+			// before this one may have been missed.
+			continue
+		}
 		n, err := strconv.Atoi(string(r.Value))
 		if err != nil {
 			return nil, errors.Wrap(err, "batch: index")
--- a/internal/front/batch/listing_test.go
+++ b/internal/front/batch/listing_test.go
@@ -66,6 +66,53 @@
 	})
 }
 
+// lateWriter is a store in which a page is written between two reads of an
+// index: by its name, it stands before the row at which the reading goes on.
+type lateWriter struct {
+	store.Store
+
+	write func()
+	reads int
+}
+
+func (l *lateWriter) Read(ctx context.Context, r store.Range) (store.Snapshot, error) {
+	l.reads++
+	if l.reads == 2 {
+		l.write()
+	}
+	return l.Store.Read(ctx, r)
+}
+
+// TestPageWrittenWhileTheIndexIsRead must not move what another reader sees.
+func TestPageWrittenWhileTheIndexIsRead(t *testing.T) {
+	m := &store.Memory{}
+	list := func(page string, ids ...string) {
+		var results []Result
+		for _, id := range ids {
+			results = append(results, Result{ID: id, State: Completed})
+		}
+		_, _, err := Ledger{Store: m}.list(context.Background(), "j", page, results)
+		must.NoError(t, err)
+	}
+	list("b", "1")
+	list("c", "2")
+	late := &lateWriter{Store: m, write: func() {
+		list("a", "3")
+		list("d", "4")
+	}}
+	pages, err := Ledger{Store: late, Limit: 1}.pages(context.Background(), "j")
+	must.NoError(t, err)
+	_, total := locate(pages, 0)
+	must.Eq(t, 2, total)
+	whole, err := Ledger{Store: m}.pages(context.Background(), "j")
+	must.NoError(t, err)
+	for i, p := range pages {
+		_, before := locate(whole, 0)
+		must.Eq(t, 4, before)
+		must.Eq(t, whole[i], p)
+	}
+}
+
 func TestLongTextsTakeSeveralRows(t *testing.T) {
 	l := Ledger{Store: &store.Memory{}}
 	text := strings.Repeat("x", 3*chunkBytes)
--- a/internal/front/store/store.go
+++ b/internal/front/store/store.go
@@ -87,7 +87,8 @@
 	Read(ctx context.Context, r Range) (Snapshot, error)
 }
 
-// ReadAll returns all rows of a range, page by page.
+// ReadAll returns all rows of a range, read by several calls if need be. The
+// version is that of the first call: a row with a later one was read after it.
 func ReadAll(ctx context.Context, s Store, r Range) (Snapshot, error) {
 	all, err := s.Read(ctx, r)
 	if err != nil {
