List an item once when two results of it meet in one page

The conditions of the write keep an item out of two pages, not from standing twice in one.

Ruled out: two pages (the done rows forbid it, TestPositionsNeverChange).

TestItemStandsOnceInAPage fails without the change (3 results instead of 2) and passes with it.

--- a/internal/front/batch/ledger.go
+++ b/internal/front/batch/ledger.go
@@ -225,6 +225,7 @@
 // store.ErrConflict, it returns the items that have one, or own is set if this
 // very page was written before.
 func (l Ledger) list(ctx context.Context, id, name string, results []Result) (taken map[string]bool, own bool, err error) {
+	results = unique(results)
 	b, err := msgpack.Marshal(results)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "batch: page")
@@ -262,6 +263,20 @@
 	return taken, own, err
 }
 
+// unique keeps the first result of each item. The store's conditions keep an
+// item out of two pages, but not from standing twice in one.
+func unique(results []Result) []Result {
+	seen := make(map[string]bool, len(results))
+	var out []Result
+	for _, r := range results {
+		if !seen[r.ID] {
+			seen[r.ID] = true
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // mark writes checkpoints of items of a job, and returns those written.
 func (l Ledger) mark(ctx context.Context, id string, marks []Mark) ([]Mark, error) {
 	var t store.Txn
--- a/internal/front/batch/listing_test.go
+++ b/internal/front/batch/listing_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// TestItemStandsOnceInAPage writes a page with two results of one item, as when
+// a peer hands over a result that this daemon has made as well.
+func TestItemStandsOnceInAPage(t *testing.T) {
+	l := Ledger{Store: &store.Memory{}}
+	_, _, err := l.list(context.Background(), "j", "p", []Result{{ID: "1", Text: "a"}, {ID: "2"}, {ID: "1", Text: "b"}})
+	must.NoError(t, err)
+	pages, err := l.pages(context.Background(), "j")
+	must.NoError(t, err)
+	found, total := locate(pages, 0)
+	must.Eq(t, 2, total)
+	got, err := l.results(context.Background(), "j", found)
+	must.NoError(t, err)
+	must.Len(t, 2, got)
+	must.Eq(t, "a", got[0].Text)
+}
+
 func TestLongTextsTakeSeveralRows(t *testing.T) {
 	l := Ledger{Store: &store.Memory{}}
 	text := strings.Repeat("x", 3*chunkBytes)
