Drop fields of requests that nobody reads, and a second name for one check

Cause, by reading the whole change: a live request carried its key and its decoded path into the forwarder, where nothing reads them; the route and the workspace are found before. A key should travel no further than that. relay had Away and isAway for the same check.

Behaviour is the same: the tests of forward, relay and platform pass, the linter is clean on what changed.

Found and left: the relay's faults are numbered beside the sentinels of store; the members' rows are read by every daemon; three tests of explain begin alike.

--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -31,10 +31,6 @@
 type Request struct {
 	backend.Request
 
-	// Key is what the caller shows; it goes no further.
-	Key string
-	// Path is the decoded path, by which the route is selected.
-	Path string
 	// ArrivedAt is when the request's head was read.
 	ArrivedAt time.Time
 }
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -116,7 +116,7 @@
 		if err := msgpack.Unmarshal(body, &c); err != nil {
 			return nil, errors.Wrap(err, "relay: call")
 		}
-		if s.isAway() {
+		if s.Away() {
 			return answer{Fault: 3}, nil
 		}
 		return s.perform(ctx, c), nil
@@ -125,7 +125,9 @@
 
 // Away reports whether the store itself is not reached.
 func (s *Store) Away() bool {
-	return s.isAway()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.away
 }
 
 // Isolated reports whether neither the store nor a peer has answered lately.
@@ -161,7 +163,7 @@
 
 // do makes a call at the store itself, or through a peer while that fails.
 func (s *Store) do(ctx context.Context, c call) (answer, error) {
-	if s.isAway() {
+	if s.Away() {
 		return s.viaPeers(ctx, c)
 	}
 	direct, cancel := context.WithTimeout(ctx, slowAfter+c.Wait)
@@ -302,7 +304,7 @@
 			return nil
 		case <-t.C:
 		}
-		if s.isAway() {
+		if s.Away() {
 			s.probe(ctx)
 		}
 	}
@@ -323,12 +325,6 @@
 // probeTable is read to see whether the store answers; it may be empty.
 const probeTable = "members"
 
-func (s *Store) isAway() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.away
-}
-
 func (s *Store) lost(err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
