Put random faults on daemons of the users' platform, as processes

A seed draws a fault every half second on average, 0.2 to 4 s each: daemons killed, frozen, restarted, reloaded; the store away, silent, slow, losing answers, writing late, cut from one daemon either way; servers that crash, fall silent, refuse, fail, cut. Callers keep connections until they are refused. Checked: answers are whole and their own, what may not repeat runs once, 429 and 503 are true, results keep positions, texts and versions, orders and reports have one holder a fence, a window has one report, everything serves again within 15 s, restarts lose nothing, a withdrawn key stops within 3 s. internal/standin/program and proxy are shared with the end-to-end tests, which had the former for themselves.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,9 @@
 
 SEED ?= 1
 SOAK ?= 40s
+SEEDS ?= 1-50
+LENGTH ?= 8s
+DAEMONS ?= 5
 GOBIN := $(shell go env GOPATH)/bin
 export CGO_ENABLED := 1
 export PATH := $(GOBIN):$(PATH)
@@ -79,5 +82,10 @@
 	scripts/demo
 
 .PHONY: soak
-soak: ## put random faults on real processes for a while (SEED=n, SOAK=40s)
+soak: soak-front ## put random faults on real processes for a while (SEED=n, SOAK=40s, SEEDS=1-50)
 	LACEWINGTALLY_SEED=$(SEED) LACEWINGTALLY_SOAK=$(SOAK) go test -tags soak -count=1 -timeout 30m -v -run '^TestSoak$$' ./internal/daemon/endtoend
+
+.PHONY: soak-front
+soak-front: ## put random faults on daemons of the users' platform (SEEDS=1-50, LENGTH=8s, DAEMONS=5)
+	LACEWINGTALLY_SOAK_SEEDS=$(SEEDS) LACEWINGTALLY_SOAK_LENGTH=$(LENGTH) LACEWINGTALLY_SOAK_DAEMONS=$(DAEMONS) \
+		go test -count=1 -timeout 60m -parallel 3 -v -run '^TestSoakSeeds$$' ./platform/soak
--- a/internal/daemon/endtoend/soak_test.go
+++ b/internal/daemon/endtoend/soak_test.go
@@ -62,7 +62,7 @@
 	return []fault{
 		{name: "kill a daemon", run: func(c *cluster, r *rand.Rand) {
 			d := c.daemons[r.IntN(len(c.daemons))]
-			d.kill()
+			d.Kill()
 			pause(r, 3*time.Second)
 			c.startDaemon(d)
 		}},
@@ -73,20 +73,20 @@
 		}},
 		{name: "freeze a daemon", run: func(c *cluster, r *rand.Rand) {
 			d := c.daemons[r.IntN(len(c.daemons))]
-			d.freeze()
+			d.Freeze()
 			pause(r, longestFreeze)
-			d.thaw()
+			d.Thaw()
 		}},
 		{name: "freeze an engine", run: func(c *cluster, r *rand.Rand) {
 			e := c.engines[r.IntN(len(c.engines))]
-			e.freeze()
+			e.Freeze()
 			pause(r, longestFreeze)
-			e.thaw()
+			e.Thaw()
 		}},
 		{name: "freeze the service", run: func(c *cluster, r *rand.Rand) {
-			c.service.freeze()
+			c.service.Freeze()
 			pause(r, longestFreeze)
-			c.service.thaw()
+			c.service.Thaw()
 		}},
 		{name: "table out", run: tableFaultFor("Outage")},
 		{name: "table slow", run: tableFaultFor("Slow")},
--- /dev/null
+++ b/internal/standin/proxy/proxy_test.go
@@ -0,0 +1,90 @@
+package proxy_test
+
+import (
+	"bufio"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/proxy"
+)
+
+// echo serves lines until the test ends, and returns a proxy before it.
+func echo(t *testing.T) *proxy.Proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, l.Close()) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for r := bufio.NewReader(c); ; {
+					s, err := r.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if _, err := c.Write([]byte(s)); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	p, err := proxy.New(netip.MustParseAddrPort(l.Addr().String()))
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, p.Close()) })
+	return p
+}
+
+// ask sends a line and returns how long its echo took.
+func ask(c net.Conn, limit time.Duration) (time.Duration, error) {
+	begun := time.Now()
+	if _, err := c.Write([]byte("x\n")); err != nil {
+		return 0, err
+	}
+	if err := c.SetReadDeadline(begun.Add(limit)); err != nil {
+		return 0, err
+	}
+	_, err := c.Read(make([]byte, 16))
+	return time.Since(begun), err
+}
+
+func TestProxy(t *testing.T) {
+	p := echo(t)
+	c, err := net.Dial("tcp", p.Address().String())
+	must.NoError(t, err)
+	_, err = ask(c, time.Second)
+	must.NoError(t, err)
+	p.Set(proxy.Pass, 20*time.Millisecond)
+	took, err := ask(c, time.Second)
+	must.NoError(t, err)
+	must.GreaterEq(t, 40*time.Millisecond, took)
+	for _, m := range []proxy.Mode{proxy.HoldRequests, proxy.HoldAnswers, proxy.HoldBoth} {
+		p.Set(m, 0)
+		_, err = ask(c, 50*time.Millisecond)
+		must.Error(t, err)
+		p.Set(proxy.Pass, 0)
+		// What was held back comes, nothing is lost.
+		must.NoError(t, c.SetReadDeadline(time.Now().Add(time.Second)))
+		_, err = c.Read(make([]byte, 2))
+		must.NoError(t, err)
+	}
+	p.Set(proxy.Refuse, 0)
+	_, err = ask(c, time.Second)
+	must.Error(t, err)
+	p.Set(proxy.Pass, 0)
+	c, err = net.Dial("tcp", p.Address().String())
+	must.NoError(t, err)
+	_, err = ask(c, time.Second)
+	must.NoError(t, err)
+	p.Reset()
+	_, err = ask(c, time.Second)
+	must.Error(t, err)
+}
