One list of reasons for refusals, lines, metrics and the operators' page

Items that are given up named their reason in free text; it is now one of the refusals' reasons, with the server, the runs and the failures that decided. TestOneVocabulary holds the page's table to the list. Metrics that were missing: time of attempts, failures by server (at most 256 addresses are told apart), attempts of streams, the age of the configuration and of the knowledge of daemons. Before: TestOneVocabulary did not compile without the list; the page named no reasons of items. After: it and TestServersAreBounded pass.

--- a/internal/base/refusal/refusal.go
+++ b/internal/base/refusal/refusal.go
@@ -54,6 +54,15 @@
 // Reason is why a request was refused.
 type Reason string
 
+// Reasons returns all reasons, in order.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonCancelled, ReasonConnectionLost, ReasonDeadline, ReasonDraining, ReasonDuplicate, ReasonKey,
+		ReasonLimit, ReasonNoRoute, ReasonNoServer, ReasonOverload, ReasonQuarantine, ReasonRetryBudget,
+		ReasonServer, ReasonStore, ReasonUnconfirmed,
+	}
+}
+
 // GaveUp returns a final refusal.
 func GaveUp(r Reason, retryAt time.Time, cause error) *Error {
 	return &Error{Kind: ErrGaveUp, Reason: r, RetryAt: retryAt, Cause: cause}
--- a/internal/daemon/telemetry/operations_test.go
+++ b/internal/daemon/telemetry/operations_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/config"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/timeline"
 )
@@ -29,7 +30,7 @@
 		}
 	}
 	var words []string
-	for _, r := range Reasons() {
+	for _, r := range refusal.Reasons() {
 		words = append(words, string(r))
 	}
 	for _, n := range Names() {
--- a/internal/daemon/telemetry/telemetry_test.go
+++ b/internal/daemon/telemetry/telemetry_test.go
@@ -98,7 +98,7 @@
 	for _, c := range constants(t, "../../base/refusal/refusal.go", "Reason") {
 		reasons = append(reasons, refusal.Reason(c))
 	}
-	must.Eq(t, reasons, Reasons())
+	must.Eq(t, reasons, refusal.Reasons())
 }
 
 // constants returns the values of the string constants of one type in a file.
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 )
 
@@ -32,7 +33,7 @@
 			if w := r.describe(j, i); w.Service != "" {
 				out = append(out, w)
 			} else if r.fleet.Config() != nil {
-				r.finish(j, i, Abandoned, "no route")
+				r.finish(j, i, Abandoned, refusal.ReasonNoRoute)
 			}
 		}
 	}
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
@@ -66,10 +67,12 @@
 // run runs an item until it is done, fails or is stopped.
 func (r *Runner) run(ctx context.Context, j *job, i *item, s backend.Server) {
 	defer r.work.Done()
+	begunAt := time.Now()
 	status, err := r.attempt(ctx, j, i, s)
 	stopped := ctx.Err() != nil
 	if !stopped {
-		r.metrics.Attempt(metrics.KindItem, metrics.Outcome(status, status == http.StatusServiceUnavailable, err))
+		outcome := metrics.Outcome(status, status == http.StatusServiceUnavailable, err)
+		r.metrics.Attempt(metrics.KindItem, outcome, s.Address.String(), time.Since(begunAt))
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -103,13 +106,13 @@
 		r.finish(j, i, Completed, "")
 		return
 	case status == http.StatusUnprocessableEntity:
-		r.finish(j, i, Abandoned, "server cannot run it")
+		r.finish(j, i, Abandoned, refusal.ReasonServer)
 		return
 	case status == http.StatusInternalServerError:
 		i.progress.Failures++
 		i.avoid = s.ID
 		if i.progress.Failures >= r.maxAttempts(j, i) {
-			r.finish(j, i, Abandoned, "attempts failed")
+			r.finish(j, i, Abandoned, refusal.ReasonServer)
 			return
 		}
 	default:
@@ -121,8 +124,9 @@
 		zap.Int("Status", status), zap.Int("After", i.progress.After), zap.Error(err))
 }
 
-// finish records the outcome of an item. It is called with the mutex held.
-func (r *Runner) finish(j *job, i *item, s State, reason string) {
+// finish records the outcome of an item; reason is empty for one that is
+// completed. It is called with the mutex held.
+func (r *Runner) finish(j *job, i *item, s State, reason refusal.Reason) {
 	i.done = true
 	if i.stop != nil {
 		i.stop()
@@ -135,7 +139,8 @@
 		result.Text = strings.Join(i.progress.Data, "\n")
 		result.Weights = i.progress.Weights
 	} else {
-		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", reason))
+		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", string(reason)),
+			zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures))
 	}
 	i.progress.Data = nil
 	i.Body = nil
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -182,7 +183,7 @@
 		}
 		for _, i := range j.items {
 			if !i.done {
-				r.finish(j, i, Abandoned, "time over")
+				r.finish(j, i, Abandoned, refusal.ReasonDeadline)
 			}
 		}
 	}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -213,6 +213,7 @@
 		running, waiting, open := d.runner.Counts()
 		_, err := d.keeper.Check()
 		s := metrics.Sample{
+			ConfigAge: d.fleet.ConfigAge(), MembersAge: d.fleet.MembersAge(),
 			DutyHeld: err == nil, ItemsRunning: running, ItemsWaiting: waiting, JobsOpen: open,
 			LinesLeftOut: d.parts.LinesLeftOut(), Members: len(d.fleet.Members().List),
 			Servers: len(d.fleet.Servers().List), StoreAge: d.fleet.StoreAge(), StoreRelayed: d.relay.Away(),
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -59,8 +59,10 @@
 	mutex sync.Mutex
 	// versions holds the newest version of each model that the operators named.
 	versions map[string]int
-	// answeredAt is the uptime at which the last answered call was sent.
+	// answeredAt is the uptime at which the last answered call was sent, and
+	// readAt that of the last answered read of each table.
 	answeredAt time.Duration
+	readAt     map[string]time.Duration
 	reachable  bool
 	// weights holds what was seen of servers' weights, by incarnation and model.
 	weights map[string]map[string]weights
@@ -71,7 +73,7 @@
 
 // New returns a State that knows nothing until its Serve methods run.
 func New(s store.Store, c Codec, log *zap.Logger) *State {
-	f := &State{codec: c, log: log, store: s, versions: make(map[string]int), weights: make(map[string]map[string]weights), operatorRows: make(map[string]store.Row)}
+	f := &State{codec: c, log: log, store: s, versions: make(map[string]int), weights: make(map[string]map[string]weights), operatorRows: make(map[string]store.Row), readAt: make(map[string]time.Duration)}
 	f.servers.Store(&Servers{})
 	f.members.Store(&Members{})
 	return f
@@ -99,6 +101,35 @@
 	return Uptime() - f.answeredAt
 }
 
+// ConfigAge returns how old the knowledge of the operators' rows is, 0 before the
+// first read.
+func (f *State) ConfigAge() time.Duration {
+	return f.age(f.codec.OperatorTable)
+}
+
+// MembersAge returns how old the knowledge of the other daemons is, 0 before the
+// first read.
+func (f *State) MembersAge() time.Duration {
+	return f.age(memberTable)
+}
+
+func (f *State) age(table string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.readAt[table] == 0 {
+		return 0
+	}
+	return Uptime() - f.readAt[table]
+}
+
+// read notes an answered read of a table.
+func (f *State) read(table string, s store.Snapshot, sentAt time.Duration) {
+	f.answered(s, sentAt)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.readAt[table] = max(f.readAt[table], sentAt)
+}
+
 // Version returns the newest version of a model's weights, 0 if none was named.
 func (f *State) Version(model string) int {
 	f.mutex.Lock()
@@ -223,7 +254,7 @@
 			Sleep(ctx, retryInterval)
 			continue
 		}
-		f.answered(s, sentAt)
+		f.read(table, s, sentAt)
 		take(s.Rows)
 		after, known = max(after, s.Version), true
 	}
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -150,7 +150,7 @@
 		f.failed(memberTable, err)
 		return
 	}
-	f.answered(s, sentAt)
+	f.read(memberTable, s, sentAt)
 	for _, id := range r.take(s.Rows, sentAt) {
 		f.log.Info("daemon no longer alive", zap.String("Member", id))
 	}
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/front/sse"
 )
 
@@ -32,6 +33,7 @@
 		start := time.Now()
 		err := x.streamFrom(ctx, s, &begun)
 		x.servers.done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
+		x.metrics.Attempt(metrics.KindLive, outcome{err: err}.name(), s.Address.String(), time.Since(start))
 		if err == nil {
 			return nil
 		}
--- a/internal/front/forward/whole.go
+++ b/internal/front/forward/whole.go
@@ -181,7 +181,7 @@
 		if errors.Is(o.err, backend.ErrCut) && ctx.Err() == nil {
 			x.suspects.add(x.fingerprint, time.Now())
 		}
-		x.metrics.Attempt(metrics.KindLive, o.name())
+		x.metrics.Attempt(metrics.KindLive, o.name(), s.Address.String(), time.Since(start))
 		results <- o
 	}()
 	return true
--- a/internal/front/metrics/metrics.go
+++ b/internal/front/metrics/metrics.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +15,9 @@
 
 // Names of the metrics, without the prefix, in alphabetical order.
 const (
+	AttemptSeconds Name = "attempt_seconds"
 	Attempts       Name = "attempts"
+	ConfigAge      Name = "config_age_seconds"
 	ConfigVersion  Name = "config_version"
 	DutyHeld       Name = "duty_held"
 	ItemsRunning   Name = "items_running"
@@ -22,8 +25,10 @@
 	JobsOpen       Name = "jobs_open"
 	LinesLeftOut   Name = "log_lines_left_out"
 	Members        Name = "members"
+	MembersAge     Name = "members_age_seconds"
 	RequestSeconds Name = "request_seconds"
 	Requests       Name = "requests"
+	ServerFailures Name = "server_failures"
 	Servers        Name = "servers"
 	StoreAge       Name = "store_answer_age_seconds"
 	StoreRelayed   Name = "store_through_peers"
@@ -38,6 +43,13 @@
 
 	tagKind    = "kind"
 	tagOutcome = "outcome"
+	tagServer  = "server"
+
+	// maxServers bounds the servers that are told apart; their addresses are
+	// used again.
+	maxServers = 256
+	// otherServer stands for all beyond them.
+	otherServer = "Other"
 )
 
 // buckets of request times, in seconds.
@@ -49,13 +61,15 @@
 // Names returns all names.
 func Names() []Name {
 	return []Name{
-		Attempts, ConfigVersion, DutyHeld, ItemsRunning, ItemsWaiting, JobsOpen, LinesLeftOut, Members,
-		RequestSeconds, Requests, Servers, StoreAge, StoreRelayed,
+		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemsRunning, ItemsWaiting, JobsOpen,
+		LinesLeftOut, Members, MembersAge, RequestSeconds, Requests, ServerFailures, Servers, StoreAge, StoreRelayed,
 	}
 }
 
 // Sample is what a daemon knows of itself at one instant.
 type Sample struct {
+	// ConfigAge and MembersAge are the times since the newest successful reads.
+	ConfigAge     time.Duration
 	ConfigVersion int64
 	DutyHeld      bool
 	ItemsRunning  int
@@ -63,6 +77,7 @@
 	JobsOpen      int
 	LinesLeftOut  int64
 	Members       int
+	MembersAge    time.Duration
 	Servers       int
 	StoreAge      time.Duration
 	StoreRelayed  bool
@@ -74,6 +89,10 @@
 	scope  tally.Scope
 	closer io.Closer
 	scrape http.Handler
+
+	mutex sync.Mutex
+	// servers are those that are told apart.
+	servers map[string]bool
 }
 
 // New returns metrics that are reported until Close.
@@ -90,13 +109,34 @@
 	return &Metrics{scope: s, closer: c, scrape: r.HTTPHandler()}
 }
 
-// Attempt counts the end of an attempt at a server. Kind and outcome are from
-// closed lists.
-func (m *Metrics) Attempt(kind, outcome string) {
+// Attempt counts the end of an attempt at the server at an address. Kind and
+// outcome are from closed lists.
+func (m *Metrics) Attempt(kind, outcome, server string, took time.Duration) {
 	if m.scope == nil {
 		return
 	}
 	m.scope.Tagged(map[string]string{tagKind: kind, tagOutcome: outcome}).Counter(string(Attempts)).Inc(1)
+	m.scope.Tagged(map[string]string{tagKind: kind}).Histogram(string(AttemptSeconds), buckets).RecordValue(took.Seconds())
+	if outcome != OutcomeAnswered {
+		m.scope.Tagged(map[string]string{tagServer: m.known(server), tagOutcome: outcome}).Counter(string(ServerFailures)).Inc(1)
+	}
+}
+
+// known returns a server's address while not too many are told apart.
+func (m *Metrics) known(server string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.servers[server] {
+		return server
+	}
+	if len(m.servers) >= maxServers {
+		return otherServer
+	}
+	if m.servers == nil {
+		m.servers = make(map[string]bool)
+	}
+	m.servers[server] = true
+	return server
 }
 
 // Close reports what was counted and stops.
@@ -121,6 +161,7 @@
 	if m.scope == nil {
 		return
 	}
+	m.gauge(ConfigAge, s.ConfigAge.Seconds())
 	m.gauge(ConfigVersion, float64(s.ConfigVersion))
 	m.gauge(DutyHeld, one(s.DutyHeld))
 	m.gauge(ItemsRunning, float64(s.ItemsRunning))
@@ -128,6 +169,7 @@
 	m.gauge(JobsOpen, float64(s.JobsOpen))
 	m.gauge(LinesLeftOut, float64(s.LinesLeftOut))
 	m.gauge(Members, float64(s.Members))
+	m.gauge(MembersAge, s.MembersAge.Seconds())
 	m.gauge(Servers, float64(s.Servers))
 	m.gauge(StoreAge, s.StoreAge.Seconds())
 	m.gauge(StoreRelayed, one(s.StoreRelayed))
--- a/internal/front/metrics/metrics_test.go
+++ b/internal/front/metrics/metrics_test.go
@@ -1,14 +1,17 @@
 package metrics_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 )
 
@@ -17,7 +20,7 @@
 func TestMetricsAreScraped(t *testing.T) {
 	m := metrics.New()
 	m.Request("Safe", "Answered", time.Millisecond)
-	m.Attempt("Safe", "Answered")
+	m.Attempt("Safe", "Cut", "192.0.2.1:80", time.Millisecond)
 	m.Sample(metrics.Sample{Members: 3})
 	must.NoError(t, m.Close())
 	w := httptest.NewRecorder()
@@ -34,7 +37,42 @@
 func TestZeroValueCountsNothing(t *testing.T) {
 	var m metrics.Metrics
 	m.Request("Safe", "Answered", time.Second)
-	m.Attempt("Safe", "Answered")
+	m.Attempt("Safe", "Answered", "192.0.2.1:80", time.Second)
 	m.Sample(metrics.Sample{})
 	must.NoError(t, m.Close())
 }
+
+func TestServersAreBounded(t *testing.T) {
+	m := metrics.New()
+	for i := range 1000 {
+		m.Attempt(metrics.KindItem, metrics.OutcomeCut, fmt.Sprintf("192.0.2.1:%d", i), time.Millisecond)
+	}
+	must.NoError(t, m.Close())
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, metrics.Path, nil))
+	must.Eq(t, 257, strings.Count(w.Body.String(), "\nlacewingtally_front_server_failures{"))
+	must.StrContains(t, w.Body.String(), `server="Other"} 744`)
+}
+
+// TestOneVocabulary looks for the reasons of refusals, which are also outcomes
+// in metrics and fields of log lines, and for the outcomes of attempts in the
+// operators' page, and there for reasons that are none.
+func TestOneVocabulary(t *testing.T) {
+	b, err := os.ReadFile("../../../docs/OPERATIONS.md")
+	must.NoError(t, err)
+	page := string(b)
+	_, table, ok := strings.Cut(page, "| Reason | Meaning | What to do |\n")
+	must.True(t, ok)
+	table, _, _ = strings.Cut(table, "\n\n")
+	var listed []refusal.Reason
+	for _, row := range strings.Split(table, "\n")[1:] {
+		listed = append(listed, refusal.Reason(strings.Trim(strings.Split(row, "|")[1], " `")))
+	}
+	must.Eq(t, refusal.Reasons(), listed)
+	for _, o := range metrics.Outcomes() {
+		must.StrContains(t, page, "`"+o+"`")
+	}
+	for _, k := range metrics.Kinds() {
+		must.StrContains(t, page, "`"+k+"`")
+	}
+}
--- a/internal/front/metrics/outcome.go
+++ b/internal/front/metrics/outcome.go
@@ -26,6 +26,16 @@
 	OutcomeNotSent  = "NotSent"
 )
 
+// Kinds returns all kinds.
+func Kinds() []string {
+	return []string{KindBody, KindItem, KindJob, KindLive, KindSubmit}
+}
+
+// Outcomes returns all outcomes but the reasons of refusals.
+func Outcomes() []string {
+	return []string{OutcomeAnswered, OutcomeCut, OutcomeFailed, OutcomeNotRun, OutcomeNotSent}
+}
+
 // Outcome names the end of an attempt at a server.
 func Outcome(status int, notRun bool, err error) string {
 	switch {
