Let no more servers load at a time than the source of weights serves at full speed

Cause: a fifth of all servers could load at a time; with the spot servers that are ordered under load, 18 of 90. The sheet's source slows down beyond nine (of 45), so loads took about 1.8 s instead of 0.9. Change: the share counts standard servers only; a load that nobody reports finished counts for 1.8 s. Before: TestSpotServersDoNotCrowdTheSource failed (18 load at a time, 64 of 100 servers useful). After: passes, 68 of 100.

--- a/internal/control/wave/wave.go
+++ b/internal/control/wave/wave.go
@@ -18,8 +18,9 @@
 const (
 	// minAtOnce is the number of servers that may always load at the same time.
 	minAtOnce = 2
-	// atOnceShare is the part of the servers that may load at the same time.
-	// The source of weights serves more of them more slowly.
+	// atOnceShare is the part of the standard servers that may load at the same
+	// time. The source of weights is built for these, and serves more of them
+	// more slowly, so that more servers would be away for longer.
 	atOnceShare = 0.2
 )
 
@@ -40,6 +41,8 @@
 	Loading string
 	// Running is the number of its runs, if known.
 	Running int
+	// Spot tells servers that come and go.
+	Spot bool
 }
 
 // Order has a server load the named version of a model.
@@ -53,7 +56,7 @@
 	if len(models) == 0 {
 		return nil
 	}
-	room := max(minAtOnce, int(atOnceShare*float64(len(servers))+0.5))
+	room := atOnce(servers)
 	for _, s := range servers {
 		if s.Loading != "" {
 			room--
@@ -75,6 +78,17 @@
 	return out
 }
 
+// atOnce returns how many servers may load at the same time.
+func atOnce(servers []Server) int {
+	standard := 0
+	for _, s := range servers {
+		if !s.Spot {
+			standard++
+		}
+	}
+	return max(minAtOnce, int(atOnceShare*float64(standard)+0.5))
+}
+
 // assign gives each server to one model: models get servers by demand, and
 // those that are the least behind for them.
 func assign(models []Model, servers []Server) map[string][]Server {
--- a/internal/control/wave/wave_test.go
+++ b/internal/control/wave/wave_test.go
@@ -1,8 +1,10 @@
 package wave_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -49,6 +51,57 @@
 	must.Len(t, 1, plan(s, 3))
 }
 
+// TestSpotServersDoNotCrowdTheSource replays three trainers that name versions
+// every four seconds, on 45 standard and 45 spot servers. The source serves nine
+// loads at a time; more of them take longer. Meant are the servers that run
+// something: those that a step accepts and that do not load.
+func TestSpotServersDoNotCrowdTheSource(t *testing.T) {
+	const step, sourceAtOnce, loadTicks, seconds = 100 * time.Millisecond, 9, 9, 60
+	var s []wave.Server
+	left := make([]float64, 90)
+	models := []wave.Model{{Name: "a", Named: 1, Demand: 1}, {Name: "b", Named: 1, Demand: 1}, {Name: "c", Named: 1, Demand: 1}}
+	for i := range left {
+		s = append(s, wave.Server{ID: strconv.Itoa(i), Spot: i%2 == 1, Versions: map[string]int{"a": 1, "b": 1, "c": 1}})
+	}
+	useful, ticks := 0, 0
+	for tick := range int(seconds * time.Second / step) {
+		if tick%40 == 0 {
+			for i := range models {
+				models[i].Named++
+			}
+		}
+		loading := 0
+		for _, v := range s {
+			if v.Loading != "" {
+				loading++
+			}
+		}
+		must.LessEq(t, sourceAtOnce, loading)
+		for i := range s {
+			if s[i].Loading == "" {
+				continue
+			}
+			if left[i] -= min(1, sourceAtOnce/float64(loading)); left[i] <= 0 {
+				s[i].Versions[s[i].Loading] = named(models, s[i].Loading)
+				s[i].Loading = ""
+			}
+		}
+		for _, v := range s {
+			ticks++
+			if v.Loading == "" && slices.ContainsFunc(models, func(m wave.Model) bool { return v.Versions[m.Name] >= m.Named-1 }) {
+				useful++
+			}
+		}
+		for _, o := range wave.Plan(append([]wave.Model(nil), models...), s) {
+			i, err := strconv.Atoi(o.Server)
+			must.NoError(t, err)
+			s[i].Loading, left[i] = o.Model, loadTicks
+		}
+	}
+	t.Logf("%d in 100 servers useful", 100*useful/ticks)
+	must.Greater(t, ticks*2/3, useful)
+}
+
 // TestTwoTrainersKeepWithinTheLoads replays two trainers that each name a
 // version every four seconds, for eleven servers of which two load at a time in
 // a second. Each must always find servers that its next step accepts.
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -209,7 +209,7 @@
 		if s.Service != name || s.Draining {
 			continue
 		}
-		v := wave.Server{ID: s.ID, Versions: make(map[string]int), Running: running[s.ID]}
+		v := wave.Server{ID: s.ID, Versions: make(map[string]int), Running: running[s.ID], Spot: s.Spot}
 		for _, m := range service.Models {
 			v.Versions[m] = w.fleet.Loaded(s, m)
 		}
--- a/internal/front/fleet/weights.go
+++ b/internal/front/fleet/weights.go
@@ -26,8 +26,8 @@
 
 const (
 	// loadPatience is how long a server counts as loading without news of the
-	// load's end: the usual time, and some for servers that load together.
-	loadPatience = 1300 * time.Millisecond
+	// load's end: twice the usual time, for servers that load together.
+	loadPatience = 1800 * time.Millisecond
 	// noticeTimeout bounds the telling of one peer. A later notice is of no use.
 	noticeTimeout = 300 * time.Millisecond
 )
