Do not give an item up for the fault of one server

Cause: six runs within 2 ms at the one server that had room, which answered 500 each time; its route allows six attempts, and each counted. Ruled out: a takeover that adds counts (one daemon ran it all along).

--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 )
 
 // ErrNotFound says that no such job or item exists.
@@ -115,8 +117,8 @@
 	// Data holds the data of the events.
 	Data    []string
 	Weights []int
-	// Failures counts the attempts that failed so far.
-	Failures int
+	// Failures are the runs that failed so far.
+	Failures schedule.Failures
 }
 
 // name orders the marks of an item.
@@ -132,8 +134,8 @@
 	After   int
 	Data    []string
 	Weights []int
-	// Failures counts the attempts that failed.
-	Failures int
+	// Failures are the runs that failed.
+	Failures schedule.Failures
 }
 
 // join adds up an item's marks, given in order of their names, and returns the
@@ -141,9 +143,11 @@
 // written by a second run of the lineage and is left out.
 func join(marks []Mark) Progress {
 	var best, p Progress
-	failures := 0
+	var failures schedule.Failures
 	for _, m := range marks {
-		failures = max(failures, m.Failures)
+		if m.Failures.Runs > failures.Runs {
+			failures = m.Failures
+		}
 		if m.Lineage != p.Lineage {
 			p = Progress{Lineage: m.Lineage}
 		}
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -109,9 +109,10 @@
 		r.finish(j, i, Abandoned, refusal.ReasonServer)
 		return
 	case status == http.StatusInternalServerError:
-		i.progress.Failures++
+		i.progress.Failures.Add(s.ID)
 		i.avoid = s.ID
-		if i.progress.Failures >= r.maxAttempts(j, i) {
+		i.notBefore = now.Add(i.progress.Failures.Wait())
+		if i.progress.Failures.Final(r.maxAttempts(j, i)) {
 			r.finish(j, i, Abandoned, refusal.ReasonServer)
 			return
 		}
@@ -140,7 +141,7 @@
 		result.Weights = i.progress.Weights
 	} else {
 		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", string(reason)),
-			zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures))
+			zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures.Runs), zap.Strings("FailedOn", i.progress.Failures.Servers))
 	}
 	i.progress.Data = nil
 	i.Body = nil
@@ -243,7 +244,7 @@
 	return r.fleet.Config().Route(j.head.Host, path(i.Target))
 }
 
-// maxAttempts returns how many failed attempts an item may have.
+// maxAttempts returns how many servers may fail an item.
 func (r *Runner) maxAttempts(j *job, i *item) int {
 	if target, ok := r.route(j, i); ok {
 		return target.MaxServers
@@ -266,9 +267,12 @@
 
 // rotation spreads the remainder of a server's places.
 func rotation(id string) int {
-	return int(xxhash.Sum64String(id) % (1 << 16))
+	return int(xxhash.Sum64String(id) % rotations)
 }
 
+// rotations bounds rotations and turns.
+const rotations = 1 << 16
+
 // pageName names the next page. It is called with the mutex held.
 func (r *Runner) pageName() string {
 	r.pages++
