Keep daemons from crowding the servers that have just loaded

Some 52 daemons ran items, so most had no place of their own on the 15 servers that run a step's versions, and each took one beyond on any server that heartbeats showed under half full: all of them at once, on the same servers. Ruled out: loads (few moves within 2 s of an order); silent servers (86 of 90 were left). Change: 20 daemons instead of 52 run items there (36 places each instead of 12), the strongest; a place of others is only for items that have waited for a second, and in turns, so that no more daemons take one than are empty. Before: on a server with 8 places, 52 daemons put 52 items. After: TestDaemonsDoNotCrowdAnEmptyServer: 8 and at most 5 more, everyone in turn.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -37,7 +37,7 @@
 	fastest := Fastest(servers)
 	var out []Running
 	for _, r := range running {
-		i := pick(Work{Service: r.Work.Service, Model: r.Work.Model, MinVersion: r.Work.MinVersion, Avoid: r.Server}, servers, fastest, true)
+		i := pick(Work{Service: r.Work.Service, Model: r.Work.Model, MinVersion: r.Work.MinVersion, Avoid: r.Server}, servers, fastest, access{reserved: true})
 		if i < 0 || servers[i].ID == r.Server {
 			continue
 		}
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -40,6 +40,13 @@
 	// some wait, or when its job is due soon.
 	hurryWait  = 500 * time.Millisecond
 	hurrySlack = 3 * time.Second
+	// spareWait is how long an item waits before it takes a place that belongs
+	// to another daemon: those who have the places begin theirs first, and
+	// heartbeats tell of it.
+	spareWait = time.Second
+	// spareShare is the part of a server's places up to which daemons without a
+	// place of their own may use it.
+	spareShare = 0.5
 )
 
 // Work is an item that waits to be run.
@@ -71,6 +78,8 @@
 	Version func(model string) int
 	// Free is how many more items this daemon may run on it.
 	Free int
+	// Spare is how many more it may run beyond, of items that have waited long.
+	Spare int
 	// Load is the number of items that all daemons run on it, as far as known.
 	Load int
 	// Pace is the time that a token takes while the server runs little else; 0
@@ -120,12 +129,11 @@
 	reserve(servers, fastest)
 	var out []Placement
 	for _, w := range ready {
-		i := pick(w, servers, fastest, w.long() || w.hurries(now))
+		i := pick(w, servers, fastest, w.access(now))
 		if i < 0 {
 			continue
 		}
-		servers[i].Free--
-		servers[i].Load++
+		servers[i].take()
 		out = append(out, Placement{Work: w, Server: servers[i].ID})
 	}
 	return out
@@ -195,12 +203,44 @@
 	return s.Pace > slowFactor*fastest
 }
 
-// pick returns the index of the best server for an item, or -1. Only if reserved
-// is set may it be one that is kept for long items.
-func pick(w Work, servers []Server, fastest time.Duration, reserved bool) int {
+// access is which places an item may take besides the daemon's own on any server.
+type access struct {
+	// reserved are those on servers kept for long items, and spare those of
+	// other daemons.
+	reserved, spare bool
+}
+
+// access returns which places an item may take.
+func (w Work) access(now time.Time) access {
+	return access{
+		reserved: w.long() || w.hurries(now),
+		spare:    !w.ReadyAt.IsZero() && now.Sub(w.ReadyAt) > spareWait,
+	}
+}
+
+// open reports whether a server has a place.
+func (a access) open(s Server) bool {
+	if s.long && !a.reserved {
+		return false
+	}
+	return s.Free > 0 || a.spare && s.Free == 0 && s.Spare > 0
+}
+
+// take takes a place.
+func (s *Server) take() {
+	s.Load++
+	if s.Free > 0 {
+		s.Free--
+		return
+	}
+	s.Spare--
+}
+
+// pick returns the index of the best server for an item, or -1.
+func pick(w Work, servers []Server, fastest time.Duration, a access) int {
 	best := -1
 	for i, s := range servers {
-		if !s.runs(w) || s.Free < 1 || s.long && !reserved {
+		if !s.runs(w) || !a.open(s) {
 			continue
 		}
 		if best < 0 || better(w, s, servers[best], fastest) {
@@ -254,6 +294,23 @@
 	return places*(r+1)/daemons - places*r/daemons
 }
 
+// Spare returns whether one of several daemons, which has no place on a server,
+// may use one that others leave empty. Load is what all daemons run there, as far
+// as known. Turn changes with time, the same for all: in each turn only about as
+// many daemons may as there are places, though all see the same empty server.
+// Seat tells the daemon from the others.
+func Spare(places, load, seat, daemons, rotation, turn int) bool {
+	empty := int(spareShare*float64(places)) - load
+	without := daemons - places
+	if empty <= 0 || daemons < 1 {
+		return false
+	}
+	if without <= empty {
+		return true
+	}
+	return (seat+rotation+turn*empty)%daemons < empty*daemons/without
+}
+
 // Share splits items over daemons so that none gets more work than its weight
 // allows: the longest item goes to the daemon that would be done with it first.
 // It returns the index of a daemon for each item.
--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -142,3 +142,37 @@
 	r.Work.Remaining = 20
 	must.Len(t, 0, schedule.Move(start, []schedule.Running{r}, []schedule.Server{slow, fast}))
 }
+
+// TestDaemonsDoNotCrowdAnEmptyServer replays the begin of a step on a server that
+// has just loaded new weights: all daemons hold items for it, and know it empty.
+func TestDaemonsDoNotCrowdAnEmptyServer(t *testing.T) {
+	const daemons, places = 52, 8
+	had := make(map[int]bool)
+	for turn := range 40 {
+		own, spare := 0, 0
+		for d := range daemons {
+			q := schedule.Quota(places, d, daemons, 5)
+			own += q
+			if q == 0 && schedule.Spare(places, 0, d, daemons, 5, turn) {
+				spare++
+				had[d] = true
+			}
+		}
+		must.Eq(t, places, own)
+		must.LessEq(t, places/2+1, spare)
+		must.Positive(t, spare)
+	}
+	// In time each of the others has its turn.
+	must.Eq(t, daemons-places, len(had))
+	must.False(t, schedule.Spare(places, places/2, 1, daemons, 5, 0))
+}
+
+func TestSpareIsForItemsThatWaited(t *testing.T) {
+	s := server("a", 0, 1)
+	s.Spare = 1
+	fresh, waited := work("fresh", 10, time.Second), work("waited", 10, time.Second)
+	fresh.ReadyAt, waited.ReadyAt = start, start.Add(-1100*time.Millisecond)
+	got := schedule.Place(start, []schedule.Work{fresh, waited}, []schedule.Server{s})
+	must.Len(t, 1, got)
+	must.Eq(t, "waited", got[0].Work.ID)
+}
--- a/internal/front/batch/room.go
+++ b/internal/front/batch/room.go
@@ -7,20 +7,21 @@
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
 const (
 	// placesPerRunner is the number of places that one daemon should have of
-	// all servers together, so that it finds one for each of its items.
-	placesPerRunner = 12
+	// all servers together. With few, a daemon has none on the servers that run
+	// a new version, while others have several.
+	placesPerRunner = 36
 	// minRunners is the number of daemons that run items at least, so that the
 	// loss of one moves few.
 	minRunners = 8
-	// spareLoad is the part of a server's places up to which a daemon without a
-	// place of its own may use one, as far as it knows from the others'
-	// heartbeats.
-	spareLoad = 0.5
+	// spareTurn is how long it is the same daemons' turn to use places of
+	// others: long enough for heartbeats to tell of it.
+	spareTurn = 1500 * time.Millisecond
 )
 
 // servers returns the servers with what room this daemon has on each.
@@ -40,20 +41,15 @@
 	}
 	r.loads = load
 	now := time.Now()
+	turn := r.turn()
 	var out []schedule.Server
 	for _, s := range r.fleet.Servers().List {
 		if s.Draining || len(s.Weights) == 0 || r.paces.resting(s.ID) {
 			continue
 		}
-		quota := 0
-		if rank >= 0 {
-			quota = schedule.Quota(s.Slots, rank, len(runners), rotation(s.ID))
-		}
-		if quota == 0 && float64(load[s.ID]) < spareLoad*float64(s.Slots) {
-			quota = 1
-		}
+		quota, spare := r.room(s, load[s.ID], rank, len(runners), turn)
 		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Spare: spare - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
 			Version: func(model string) int { return r.fleet.Loaded(s, model) },
 			Loading: r.fleet.Loading(s, now),
 		})
@@ -61,6 +57,35 @@
 	return out
 }
 
+// room returns how many items this daemon may run on a server, and how many more
+// that have waited long. One that holds items and no longer counts among the
+// runners has spare places only.
+func (r *Runner) room(s backend.Server, load, rank, runners, turn int) (quota, spare int) {
+	if rank >= 0 {
+		quota = schedule.Quota(s.Slots, rank, runners, rotation(s.ID))
+	}
+	if quota > 0 {
+		return quota, 0
+	}
+	seat := rank
+	if rank < 0 {
+		seat = rotation(r.self)
+	}
+	switch {
+	case !schedule.Spare(s.Slots, load, seat, runners, rotation(s.ID), turn):
+		return 0, 0
+	case rank < 0:
+		return 1, 0
+	}
+	return 0, 1
+}
+
+// turn returns the number of the current turn, by the store's clock.
+func (r *Runner) turn() int {
+	now, _ := r.fleet.Clock.Now()
+	return int(now.UnixMilli() / spareTurn.Milliseconds() % rotations)
+}
+
 // runners returns the number of daemons that run items.
 func (r *Runner) runners() int {
 	places := 0
