Search for the owners of items only when daemons or servers change

Cause: each daemon sorted all daemons by strength every 100 ms, with or without a job, and again for each look for places. Change: the owners are kept until the list of daemons or the number of places changes. Tests of batch, schedule and the whole path pass.

--- a/internal/front/batch/handover.go
+++ b/internal/front/batch/handover.go
@@ -69,7 +69,7 @@
 func (r *Runner) handOverAll(ctx context.Context, c wire.Caller) {
 	members := &fleet.Members{}
 	addresses := make(map[string]netip.AddrPort)
-	for _, m := range r.fleet.Members().Strongest(r.runners()).List {
+	for _, m := range r.runners() {
 		if m.ID != r.self {
 			members.List = append(members.List, m)
 			addresses[m.ID] = m.Address
--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -19,12 +19,11 @@
 	if r.leaving {
 		return
 	}
-	o := r.owners()
 	for _, j := range r.jobs {
 		if j.ended || j.loading {
 			continue
 		}
-		if parcels := r.wanted(j, o); len(parcels) > 0 {
+		if parcels := r.wanted(j, r.owners()); len(parcels) > 0 {
 			j.loading = true
 			r.work.Add(1)
 			go r.load(ctx, j, parcels)
@@ -48,13 +47,19 @@
 // owners tells who items belong to, by the daemons that live at one instant.
 type owners struct {
 	members *fleet.Members
-	// runners are those that take the items of the others.
+	// runners are those that take the items of the others, for a number of
+	// places of all servers.
 	runners *fleet.Members
+	places  int
 }
 
+// owners returns the owners as known now. It is called with the mutex held.
 func (r *Runner) owners() owners {
-	m := r.fleet.Members()
-	return owners{members: m, runners: m.Strongest(r.runners())}
+	m, places := r.fleet.Members(), r.places()
+	if r.known.members != m || r.known.places != places {
+		r.known = owners{members: m, runners: m.Strongest(runnersFor(places)), places: places}
+	}
+	return r.known
 }
 
 // alive tells for each parcel of a job whether it belongs to a daemon other than
--- a/internal/front/batch/room.go
+++ b/internal/front/batch/room.go
@@ -26,8 +26,7 @@
 
 // servers returns the servers with what room this daemon has on each.
 func (r *Runner) servers() []schedule.Server {
-	members := r.fleet.Members().Staying()
-	runners := r.fleet.Members().Strongest(r.runners()).List
+	members, runners := r.fleet.Members().Staying(), r.owners().runners.List
 	rank := slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self })
 	used := r.running()
 	load := maps.Clone(used)
@@ -86,21 +85,33 @@
 	return int(now.UnixMilli() / spareTurn.Milliseconds() % rotations)
 }
 
-// runners returns the number of daemons that run items.
-func (r *Runner) runners() int {
+// places returns the number of places of all servers that run items.
+func (r *Runner) places() int {
 	places := 0
 	for _, s := range r.fleet.Servers().List {
 		if len(s.Weights) > 0 {
 			places += s.Slots
 		}
 	}
+	return places
+}
+
+// runnersFor returns the number of daemons that run items.
+func runnersFor(places int) int {
 	return max(minRunners, places/placesPerRunner)
 }
 
+// runners returns the daemons that run items, this one perhaps among them.
+func (r *Runner) runners() []fleet.Member {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.owners().runners.List
+}
+
 // Peers returns the addresses of the other daemons that run items.
 func (r *Runner) Peers() []netip.AddrPort {
 	var out []netip.AddrPort
-	for _, m := range r.fleet.Members().Strongest(r.runners()).List {
+	for _, m := range r.runners() {
 		if m.ID != r.self {
 			out = append(out, m.Address)
 		}
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -50,6 +50,8 @@
 	// leaving is set once no item is to be started any more.
 	leaving bool
 	paces   paces
+	// known are the owners at the last look.
+	known owners
 	// loads are the items that all daemons run on each server.
 	loads map[string]int
 	// pages counts the pages that this daemon has written.
--- a/internal/front/batch/service.go
+++ b/internal/front/batch/service.go
@@ -58,7 +58,7 @@
 	if !ok {
 		return unavailable(store.ErrUnavailable)
 	}
-	h, parcels := split(j, now, s.fleet.Members().Strongest(s.runner.runners()).List)
+	h, parcels := split(j, now, s.runner.runners())
 	sent := false
 	for range acceptAttempts {
 		c, cancel := context.WithTimeout(ctx, acceptTimeout)
