Split the larger files of front by their jobs

ledger (jobs; pages; marks), relay (calls; messages; choice of peers), daemon (parts; listening; leaving), fleet (state; following a table; the roster of daemons), weights (what to load; loads under way). The relay's numbers of the store's errors have names.

--- /dev/null
+++ b/internal/front/batch/pages.go
@@ -0,0 +1,149 @@
+package batch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+// pages reads the index of a job's results.
+func (l Ledger) pages(ctx context.Context, id string) ([]page, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s, err := store.ReadAll(ctx, l.Store, store.Range{Table: indexTable, Part: id, Limit: l.readLimit()})
+	if err != nil {
+		return nil, err
+	}
+	pages := make([]page, 0, len(s.Rows))
+	for _, r := range s.Rows {
+		if r.Version > s.Version {
+			// Read by a later call than the first rows: a page that was written
+			// before this one may have been missed.
+			continue
+		}
+		n, err := strconv.Atoi(string(r.Value))
+		if err != nil {
+			return nil, errors.Wrap(err, "batch: index")
+		}
+		pages = append(pages, page{Name: r.Key.Name, Version: r.Version, Count: n})
+	}
+	return pages, nil
+}
+
+// results reads results, up to a size and at least one.
+func (l Ledger) results(ctx context.Context, id string, from []slice) ([]Result, error) {
+	from = from[:min(len(from), maxEntries)]
+	read := make([][]Result, len(from))
+	var out []Result
+	size := 0
+	for start := 0; start < len(from) && size < maxAnswer; start += parallelReads {
+		g, c := errgroup.WithContext(ctx)
+		end := min(len(from), start+parallelReads)
+		for i := start; i < end; i++ {
+			g.Go(func() (err error) {
+				read[i], err = l.page(c, id, from[i].Name)
+				return err
+			})
+		}
+		if err := g.Wait(); err != nil {
+			return nil, err
+		}
+		for i := start; i < end; i++ {
+			for _, r := range read[i][from[i].Skip:] {
+				if size += len(r.Text); size > maxAnswer && len(out) > 0 {
+					return out, nil
+				}
+				out = append(out, r)
+			}
+		}
+	}
+	return out, nil
+}
+
+func (l Ledger) page(ctx context.Context, id, name string) ([]Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	s, err := store.ReadAll(ctx, l.Store, store.Range{Table: pageTable, Part: id, From: rowName(name, 0), To: rowName(name, maxRows)})
+	if err != nil {
+		return nil, err
+	}
+	var b []byte
+	for _, r := range s.Rows {
+		b = append(b, r.Value...)
+	}
+	var results []Result
+	if err := msgpack.Unmarshal(b, &results); err != nil {
+		return nil, errors.Wrap(err, "batch: page")
+	}
+	return results, nil
+}
+
+// list writes a page of results of items that have none yet. With
+// store.ErrConflict, it returns the items that have one, or own is set if this
+// very page was written before.
+func (l Ledger) list(ctx context.Context, id, name string, results []Result) (taken map[string]bool, own bool, err error) {
+	results = unique(results)
+	b, err := msgpack.Marshal(results)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "batch: page")
+	}
+	index := store.Key{Table: indexTable, Part: id, Name: name}
+	t := store.Txn{
+		Conditions: []store.Row{{Key: index}},
+		Puts: []store.Row{
+			{Key: index, Value: []byte(strconv.Itoa(len(results)))},
+		},
+	}
+	for n, b := range slices.Collect(slices.Chunk(b, chunkBytes)) {
+		t.Puts = append(t.Puts, store.Row{Key: store.Key{Table: pageTable, Part: id, Name: rowName(name, n)}, Value: b})
+	}
+	for _, r := range results {
+		k := store.Key{Table: doneTable, Part: id, Name: r.ID}
+		t.Conditions = append(t.Conditions, store.Row{Key: k})
+		t.Puts = append(t.Puts, store.Row{Key: k, Value: []byte{1}})
+	}
+	s, err := l.Store.Commit(ctx, t)
+	if !errors.Is(err, store.ErrConflict) {
+		return nil, false, err
+	}
+	taken = make(map[string]bool)
+	for _, r := range s.Rows {
+		if r.Version == 0 {
+			continue
+		}
+		if r.Key.Table == indexTable {
+			own = true
+			continue
+		}
+		taken[r.Key.Name] = true
+	}
+	return taken, own, err
+}
+
+// unique keeps the first result of each item. The store's conditions keep an
+// item out of two pages, but not from standing twice in one.
+func unique(results []Result) []Result {
+	seen := make(map[string]bool, len(results))
+	var out []Result
+	for _, r := range results {
+		if !seen[r.ID] {
+			seen[r.ID] = true
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// maxRows is beyond the number of rows that one page takes.
+const maxRows = 999
+
+func rowName(page string, n int) string {
+	return fmt.Sprintf("%s-%03d", page, n)
+}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -29,21 +28,6 @@
 )
 
 const (
-	// balancerDelay is how long the balancer may take to see that a daemon is
-	// no longer ready: two questions, a second apart, and some slack.
-	balancerDelay = 2300 * time.Millisecond
-	// handOverTime bounds the handing over of items by way of the store.
-	handOverTime = 900 * time.Millisecond
-	// lastWrites is kept of the grace for the last writes to the store.
-	lastWrites = time.Second
-	// headerTimeout bounds the reading of a request's head.
-	headerTimeout = 5 * time.Second
-	// idleTimeout ends connections of callers that are not used.
-	idleTimeout = 60 * time.Second
-	// maxHeader bounds a request's head, in bytes.
-	maxHeader = 64 << 10
-	// peerDialTimeout bounds the making of a connection to another daemon.
-	peerDialTimeout = 400 * time.Millisecond
 	// memoryPart is the part of the memory at which the collector works harder.
 	memoryPart = 0.7
 	megabyte   = 1 << 20
@@ -255,43 +239,6 @@
 	return out
 }
 
-// servePeers answers other daemons until the context ends.
-func (d *daemon) servePeers(ctx context.Context) error {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", d.settings.Listen.Peers.String())
-	if err != nil {
-		return errors.Wrap(err, "daemon: listen for peers")
-	}
-	anyone := func(net.Conn, netip.AddrPort) error { return nil }
-	return wire.NewServer(&d.mux, anyone, &d.counters).Serve(ctx, l)
-}
-
-// dialPeer connects to another daemon.
-func dialPeer(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	n := net.Dialer{Timeout: peerDialTimeout}
-	return n.DialContext(ctx, "tcp", to.String())
-}
-
-// leave hands all work over and lets running requests finish.
-func (d *daemon) leave(callers *http.Server) {
-	begun := time.Now()
-	d.leaving.Store(true)
-	d.log.Info("daemon leaving")
-	end := begun.Add(d.settings.Bounds.Grace - lastWrites)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	d.keeper.Release(ctx)
-	d.runner.Leave(ctx, begun.Add(handOverTime), d.calls)
-	if err := d.fleet.Heartbeat(ctx, d.member()); err != nil {
-		d.log.Warn("leaving not announced", zap.Error(err))
-	}
-	fleet.Sleep(ctx, balancerDelay-time.Since(begun))
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn("requests cut", zap.Error(err))
-	}
-	d.meter.Flush(context.Background())
-}
-
 // service is a named part of the supervisor tree.
 type service struct {
 	name  string
@@ -307,22 +254,3 @@
 func (s service) String() string {
 	return s.name
 }
-
-// listen serves a handler at an address.
-func listen(ctx context.Context, at netip.AddrPort, h http.Handler, log *zap.Logger) (*http.Server, error) {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", at.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "daemon: listen")
-	}
-	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: zap.NewStdLog(log),
-	}
-	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Error("listener failed", zap.Stringer("Address", at), zap.Error(err))
-		}
-	}()
-	return s, nil
-}
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -21,14 +21,6 @@
 	weightsInterval = 100 * time.Millisecond
 	// orderTimeout bounds one order. The margin of a tenure covers it.
 	orderTimeout = 500 * time.Millisecond
-	// loadTime is how long a load takes at least; a server is asked after it.
-	loadTime = 900 * time.Millisecond
-	// askInterval is the time between two questions to a server that loads.
-	askInterval = 130 * time.Millisecond
-	// loadTimeout is when an order without effect counts as lost.
-	loadTimeout = 5 * time.Second
-	// refusedWait is how long a server that refused an order gets no other.
-	refusedWait = 500 * time.Millisecond
 	// tellTimeout bounds the wait for daemons that are told of a load before it
 	// is ordered.
 	tellTimeout = 30 * time.Millisecond
@@ -55,18 +47,6 @@
 	loaded map[string]map[string]int
 }
 
-// load is an order to a server.
-type load struct {
-	model   string
-	version int
-	orderAt time.Time
-	askAt   time.Time
-	// expected is the number of orders that the server had accepted before.
-	expected int
-	// refused is set while the server is left alone after a refusal.
-	refused bool
-}
-
 // order is a load that is to be ordered.
 type order struct {
 	server backend.Server
@@ -222,11 +202,6 @@
 	return out
 }
 
-// at returns a step of the load at a server.
-func (l *load) at(s backend.Server, stage fleet.Stage) fleet.Load {
-	return fleet.Load{Incarnation: s.Incarnation(), Model: l.model, Version: l.version, Stage: stage}
-}
-
 func (w *Weights) give(ctx context.Context, s backend.Server, l *load) (backend.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
@@ -255,65 +230,3 @@
 	}
 	return false
 }
-
-// gave takes the answer to an order. One without an answer may still be carried
-// out: it counts as a load until its time is over.
-func (w *Weights) gave(ctx context.Context, s backend.Server, l *load, o backend.Outcome, err error) {
-	w.log.Info("order to load weights", zap.String("Server", s.ID), zap.String("Model", l.model), zap.Int("Version", l.version),
-		zap.Int("Expected", l.expected), zap.Uint8("Outcome", uint8(o)), zap.Error(err))
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	switch {
-	case err == nil && o == backend.Holds:
-		w.finished(ctx, s, l)
-	case err == nil && o == backend.Refused:
-		l.refused = true
-		l.orderAt = time.Now().Add(refusedWait - loadTimeout)
-		go w.announce(ctx, []fleet.Load{l.at(s, fleet.LoadRefused)})
-	}
-}
-
-// settle looks at the orders that are out. It is called with the mutex held.
-func (w *Weights) settle(ctx context.Context, now time.Time) {
-	for id, l := range w.loads {
-		s, ok := w.fleet.Servers().Get(id)
-		switch {
-		case !ok || now.Sub(l.orderAt) > loadTimeout:
-			delete(w.loads, id)
-		case w.fleet.Loaded(s, l.model) >= l.version:
-			w.finished(ctx, s, l)
-		case !l.refused && now.After(l.askAt):
-			l.askAt = now.Add(askInterval)
-			go w.ask(ctx, s, l)
-		}
-	}
-}
-
-// ask asks a server whether it has loaded.
-func (w *Weights) ask(ctx context.Context, s backend.Server, l *load) {
-	c, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	status, err := w.client.Ask(c, s)
-	if err != nil {
-		w.log.Info("server not asked", zap.String("Server", s.ID), zap.Error(err))
-		return
-	}
-	if status.Weights[l.model] >= l.version && !status.Busy {
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
-		w.finished(ctx, s, l)
-	}
-}
-
-// finished takes the end of a load. It is called with the mutex held.
-func (w *Weights) finished(ctx context.Context, s backend.Server, l *load) {
-	if w.loads[s.ID] == l {
-		delete(w.loads, s.ID)
-		go w.announce(ctx, []fleet.Load{l.at(s, fleet.LoadEnded)})
-	}
-	id := s.Incarnation()
-	if w.loaded[id] == nil {
-		w.loaded[id] = make(map[string]int)
-	}
-	w.loaded[id][l.model] = max(w.loaded[id][l.model], l.version)
-}
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -41,47 +41,6 @@
 	slowAfter = 700 * time.Millisecond
 )
 
-// Kinds of call.
-const (
-	opCommit op = iota + 1
-	opFeed
-	opParts
-	opRead
-)
-
-type op uint8
-
-// call is a call of the store that a peer is to make.
-type call struct {
-	Op    op
-	Txn   store.Txn
-	Range store.Range
-	Table string
-	After int64
-	Wait  time.Duration
-}
-
-// answer is the store's answer.
-type answer struct {
-	Snapshot store.Snapshot
-	Parts    []string
-	// Fault is the store's error; 0 for none.
-	Fault fault
-}
-
-// fault numbers the errors of a store. The numbers are part of the protocol.
-type fault uint8
-
-// faults are the errors that are passed on; any other is taken for unknown.
-var faults = map[fault]error{
-	1: store.ErrCompacted,
-	2: store.ErrConflict,
-	3: store.ErrUnavailable,
-	4: store.ErrUnknown,
-}
-
-const faultUnknown fault = 4
-
 // Store is a store.Store that asks peers while the store itself is not reached.
 // Use New.
 type Store struct {
@@ -117,7 +76,7 @@
 			return nil, errors.Wrap(err, "relay: call")
 		}
 		if s.Away() {
-			return answer{Fault: 3}, nil
+			return answer{Fault: faultUnavailable}, nil
 		}
 		return s.perform(ctx, c), nil
 	})
@@ -203,55 +162,6 @@
 	return answer{}, store.ErrUnavailable
 }
 
-// choices returns the peers to ask: first the one that passed a call on last,
-// then those that have not failed lately.
-func (s *Store) choices() []netip.AddrPort {
-	all := s.peers()
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	now := time.Now()
-	var out, failed []netip.AddrPort
-	if s.last.IsValid() {
-		out = append(out, s.last)
-	}
-	s.turn++
-	for n := range all {
-		p := all[(s.turn+n)%len(all)]
-		switch {
-		case p == s.last:
-		case now.Before(s.restUntil[p]):
-			failed = append(failed, p)
-		default:
-			out = append(out, p)
-		}
-	}
-	if len(out) == 0 {
-		out = failed
-	}
-	return out[:min(maxPeers, len(out))]
-}
-
-// note takes whether a peer answered, and whether it reached the store.
-func (s *Store) note(p netip.AddrPort, answered, reached bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if answered {
-		s.heardAt = time.Now()
-	}
-	if reached {
-		s.last = p
-		delete(s.restUntil, p)
-		return
-	}
-	if s.last == p {
-		s.last = netip.AddrPort{}
-	}
-	if s.restUntil == nil {
-		s.restUntil = make(map[netip.AddrPort]time.Time)
-	}
-	s.restUntil[p] = time.Now().Add(peerRest)
-}
-
 // perform makes a call at the store itself.
 func (s *Store) perform(ctx context.Context, c call) answer {
 	var a answer
@@ -270,29 +180,6 @@
 	return a
 }
 
-// err returns the error of an answer.
-func (a answer) err() error {
-	if a.Fault == 0 {
-		return nil
-	}
-	if err, ok := faults[a.Fault]; ok {
-		return err
-	}
-	return store.ErrUnknown
-}
-
-func faultOf(err error) fault {
-	if err == nil {
-		return 0
-	}
-	for f, known := range faults {
-		if errors.Is(err, known) {
-			return f
-		}
-	}
-	return faultUnknown
-}
-
 // Serve looks for the store itself while it is not reached, until the context
 // ends.
 func (s *Store) Serve(ctx context.Context) error {
