--- a/internal/control/batch/dispatch.go
+++ b/internal/control/batch/dispatch.go
@@ -21,32 +21,6 @@
 	retryRest           = 500 * time.Millisecond
 )
 
-// Reasons for discarding a sample.
-const (
-	// DiscardAhead says that an engine named a version that the weight store
-	// does not have.
-	DiscardAhead Reason = "Ahead"
-	// DiscardProtocol says that a chunk named no version or came out of order.
-	DiscardProtocol Reason = "Protocol"
-	// DiscardStale says that the sample fell behind the bound.
-	DiscardStale Reason = "Stale"
-)
-
-// Actions are what the dispatcher wants done, in the order of the fields.
-type Actions struct {
-	Stops    []Stop
-	Starts   []Start
-	Finishes []Finish
-	Discards []Discard
-}
-
-// Discard reports a sample that is generated anew.
-type Discard struct {
-	Sample SampleID
-	Reason Reason
-	Tokens int
-}
-
 // Dispatcher decides which samples of one trainer run, in which order, and
 // which are moved to another server or given up. Its zero value has the
 // built-in policy and no groups. It is a decision: it does no I/O and is not
@@ -73,12 +47,6 @@
 	stops    []Stop
 }
 
-// Finish is a group whose samples are whole.
-type Finish struct {
-	Pending Pending
-	Samples []Sample
-}
-
 // Policy bounds a Dispatcher. Its zero value has the built-in values.
 type Policy struct {
 	// InFlight is how many samples run at once.
@@ -94,63 +62,6 @@
 	WarmUp time.Duration
 }
 
-// Reason is why a sample was discarded.
-type Reason string
-
-// Start begins or resumes a sample.
-type Start struct {
-	Sample SampleID
-	// Try tells the tries of one sample apart.
-	Try   int
-	Group Group
-	// Partial and Offset are what the sample has so far.
-	Partial string
-	Offset  int
-}
-
-// Stop ends a try.
-type Stop struct {
-	Sample SampleID
-	Try    int
-}
-
-// group is one pending group.
-type group struct {
-	Group
-	pending Pending
-	// order is the number of groups that were added before.
-	order    int
-	samples  []*run
-	lengths  mean
-	finished bool
-	// wholeAt is when the last sample ended; zero before.
-	wholeAt time.Time
-}
-
-// mean is a running mean.
-type mean struct {
-	sum   int
-	count int
-}
-
-// run is one sample being made.
-type run struct {
-	sample Sample
-	group  *group
-	index  int
-	// restart counts the times that the sample began anew.
-	restart int
-	// try numbers the tries; only chunks of the current one count.
-	try     int
-	running bool
-	done    bool
-	// startedAt is when the running try started, with startTokens tokens.
-	startedAt    time.Time
-	startTokens  int
-	restUntil    time.Time
-	redispatches int
-}
-
 // Add takes a pending group. One known in the same round goes on, under the
 // key of p.
 func (d *Dispatcher) Add(p Pending, g Group) {
@@ -393,22 +304,3 @@
 		}
 	}
 }
-
-func (r *run) start(now time.Time) Start {
-	r.try++
-	r.running = true
-	r.startedAt, r.startTokens = now, r.sample.Tokens()
-	return Start{Sample: r.sample.ID, Try: r.try, Group: r.group.Group, Partial: r.sample.Text, Offset: r.startTokens}
-}
-
-func (m *mean) add(n int) {
-	m.sum += n
-	m.count++
-}
-
-func (m mean) or(other float64) float64 {
-	if m.count == 0 {
-		return other
-	}
-	return float64(m.sum) / float64(m.count)
-}
