Order again when a server has not taken an order to load

Ruled out: servers (24 were there), the duty (held all the while), the store. Change: a server that is asked when it should have loaded, and neither loads nor has the version, has lost the order; it is ordered again. Should the first order come after all, its expected number of orders no longer holds. An order that was never sent counts as refused. Before: TestLostOrdersHoldNothingUp failed (no order carried out in 4 s). After: passes, within 1.8 s.

--- a/internal/front/duty/loads.go
+++ b/internal/front/duty/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
@@ -38,8 +39,11 @@
 	return fleet.Load{Incarnation: s.Incarnation(), Model: l.model, Version: l.version, Stage: stage}
 }
 
+// errNotOrdered says that no order was sent.
+var errNotOrdered = errors.New("duty: not ordered")
+
 // gave takes the answer to an order. One without an answer may still be carried
-// out: it counts as a load until its time is over.
+// out: it counts as a load until the server is asked, or its time is over.
 func (w *Weights) gave(ctx context.Context, s backend.Server, l *load, o backend.Outcome, err error) {
 	w.log.Info("order to load weights", zap.String("Server", s.ID), zap.String("Model", l.model), zap.Int("Version", l.version),
 		zap.Int("Expected", l.expected), zap.Uint8("Outcome", uint8(o)), zap.Error(err))
@@ -48,7 +52,7 @@
 	switch {
 	case err == nil && o == backend.Holds:
 		w.finished(ctx, s, l)
-	case err == nil && o == backend.Refused:
+	case err == nil && o == backend.Refused || errors.Is(err, errNotOrdered):
 		l.refused = true
 		l.orderAt = time.Now().Add(refusedWait - loadTimeout)
 		go w.announce(ctx, []fleet.Load{l.at(s, fleet.LoadRefused)})
@@ -80,11 +84,28 @@
 		w.log.Info("server not asked", zap.String("Server", s.ID), zap.Error(err))
 		return
 	}
-	if status.Weights[l.model] >= l.version && !status.Busy {
-		w.mutex.Lock()
-		defer w.mutex.Unlock()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case status.Weights[l.model] >= l.version && !status.Busy:
 		w.finished(ctx, s, l)
+	case !status.Busy:
+		w.lost(ctx, s, l)
+	}
+}
+
+// lost takes an order that the server has not accepted by the time that it
+// should be carried out. Another one may be given: should the lost one come
+// after all, its expected number of orders no longer holds, and it is refused.
+// It is called with the mutex held.
+func (w *Weights) lost(ctx context.Context, s backend.Server, l *load) {
+	if w.loads[s.ID] != l {
+		return
 	}
+	delete(w.loads, s.ID)
+	w.log.Info("order lost", zap.String("Server", s.ID), zap.String("Model", l.model), zap.Int("Version", l.version),
+		zap.Int("Expected", l.expected))
+	go w.announce(ctx, []fleet.Load{l.at(s, fleet.LoadRefused)})
 }
 
 // finished takes the end of a load. It is called with the mutex held.
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
@@ -207,12 +208,12 @@
 	defer cancel()
 	status, err := w.client.Ask(ctx, s)
 	if err != nil {
-		return backend.Refused, err
+		return backend.Refused, errors.Wrap(errNotOrdered, err.Error())
 	}
 	l.expected = status.Orders
 	fence, err := w.holder.Check()
 	if err != nil {
-		return backend.Refused, err
+		return backend.Refused, errors.Wrap(errNotOrdered, err.Error())
 	}
 	return w.client.Give(ctx, s, backend.Order{
 		Model: l.model, Version: l.version, FinishRuns: w.singleVersion(s.Service),
--- /dev/null
+++ b/internal/front/duty/weights_test.go
@@ -0,0 +1,108 @@
+package duty
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/route"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+// always holds the duty.
+type always struct{}
+
+func (always) Check() (int64, error) { return 1, nil }
+
+// deaf are servers that carry no order out and do not answer, until a number of
+// orders has been lost.
+type deaf struct {
+	backend.Client
+
+	mutex sync.Mutex
+	lose  int
+	// orderedAt holds when orders came that were carried out.
+	orderedAt []time.Time
+	orders    map[string]int
+	versions  map[string]int
+}
+
+func (d *deaf) Ask(_ context.Context, s backend.Server) (backend.Status, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return backend.Status{Weights: map[string]int{"m": d.versions[s.ID]}, Orders: d.orders[s.ID]}, nil
+}
+
+func (d *deaf) Give(ctx context.Context, s backend.Server, o backend.Order) (backend.Outcome, error) {
+	d.mutex.Lock()
+	d.lose--
+	if d.lose >= 0 {
+		d.mutex.Unlock()
+		<-ctx.Done()
+		return backend.Refused, errors.New("no answer")
+	}
+	defer d.mutex.Unlock()
+	if o.Expected != d.orders[s.ID] {
+		return backend.Refused, nil
+	}
+	d.orders[s.ID]++
+	d.versions[s.ID] = o.Version
+	d.orderedAt = append(d.orderedAt, time.Now())
+	return backend.Accepted, nil
+}
+
+// state returns the knowledge of two servers that run version 1 of a model of
+// which version 2 is named.
+func state(t *testing.T) *fleet.State {
+	m := &store.Memory{}
+	put := func(table, name string) {
+		_, err := m.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: table, Name: name}, Value: []byte{1}}}})
+		must.NoError(t, err)
+	}
+	put("operator", "config")
+	put("operator", "weights")
+	put("servers", "a")
+	put("servers", "b")
+	return fleet.New(m, fleet.Codec{
+		OperatorTable: "operator", ConfigName: "config", ServerTable: "servers",
+		Config: func([]byte) (*route.Config, error) {
+			return &route.Config{Version: 1, Services: map[string]route.Service{"x": {Models: []string{"m"}}}}, nil
+		},
+		Version: func(string, []byte) (string, int, bool) { return "m", 2, true },
+		Server: func(id string, _ []byte, _ time.Time) (backend.Server, error) {
+			return backend.Server{ID: id, Service: "x", Slots: 4, Weights: map[string]int{"m": 1}}, nil
+		},
+	}, zap.NewNop())
+}
+
+// TestLostOrdersHoldNothingUp replays a network that loses the orders to the two
+// servers that may load at a time: both are asked once they should have loaded,
+// and ordered again.
+func TestLostOrdersHoldNothingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := state(t)
+		d := &deaf{lose: 1, orders: make(map[string]int), versions: map[string]int{"a": 1, "b": 1}}
+		tell := func(context.Context, []fleet.Load) {}
+		w := NewWeights(f, d, always{}, func(string) float64 { return 1 }, tell, "self", zap.NewNop())
+		ctx, stop := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		for _, serve := range []func(context.Context) error{f.ServeOperator, f.ServeServers, w.Serve} {
+			all.Go(func() { _ = serve(ctx) })
+		}
+		begun := time.Now()
+		time.Sleep(4 * time.Second)
+		stop()
+		all.Wait()
+		synctest.Wait()
+		must.SliceNotEmpty(t, d.orderedAt)
+		must.Less(t, 2*loadTime, d.orderedAt[0].Sub(begun))
+	})
+}
