Write the text that a daemon takes over under a lineage of its own

Cause: all daemons went dark at 42.8 s; after it two of the new ones ran the item, both from the checkpoint of the same lineage, and both wrote their next stretches under that lineage. A stretch is named by its first event, so one overwrites the other's, and where the boundaries meet, join put stretches of both into one text. Ruled out: two runs within one daemon (an item is started only after its run has ended); the servers' texts (each run's was whole). Change: whoever takes an item over, from checkpoints or from a peer, names a new lineage and writes the text from its beginning; so one daemon writes a lineage. Before: TestDaemonsThatRunOneItemDoNotMixTheirTexts failed after 6 cases ('nobody had aba'). After: it passes.

--- a/internal/front/batch/handover.go
+++ b/internal/front/batch/handover.go
@@ -56,7 +56,11 @@
 			continue
 		}
 		taken++
-		j.items[i.ID] = &item{Item: i, progress: h.States[i.ID], readyAt: time.Now()}
+		p := h.States[i.ID]
+		if p.After > 0 {
+			p.Lineage = r.lineage()
+		}
+		j.items[i.ID] = &item{Item: i, progress: p, readyAt: time.Now()}
 	}
 	j.results = append(j.results, h.Results...)
 	r.log.Info("items handed over", zap.String("Job", h.Head.ID), zap.Int("Items", taken), zap.Int("Results", len(h.Results)))
--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -109,7 +109,7 @@
 // Mark is a checkpoint: a stretch of the events of an item.
 type Mark struct {
 	Item string
-	// Lineage names the run that began the text, and all that resumed it.
+	// Lineage names the text, which one daemon alone writes.
 	Lineage string
 	// From is the last event before the stretch, and To its last one.
 	From int
@@ -128,7 +128,8 @@
 
 // Progress is what is known of an item's output.
 type Progress struct {
-	// Lineage is empty before the first event.
+	// Lineage names the text in checkpoints; it is empty before the first event
+	// that this daemon adds.
 	Lineage string
 	// After is the last event in Data.
 	After   int
@@ -139,8 +140,8 @@
 }
 
 // join adds up an item's marks, given in order of their names, and returns the
-// longest text of one lineage. A mark that does not follow on the one before was
-// written by a second run of the lineage and is left out.
+// longest text of one lineage. A mark that does not follow on the one before is
+// left out: the one between them was lost.
 func join(marks []Mark) Progress {
 	var best, p Progress
 	var failures schedule.Failures
--- a/internal/front/batch/own.go
+++ b/internal/front/batch/own.go
@@ -150,10 +150,13 @@
 	}
 }
 
-// receive adds items that belong to this daemon.
+// receive adds items that belong to this daemon, with the texts that others had
+// of them. The others may still run: what this daemon adds to a text, it writes
+// under a lineage of its own, the text from its beginning.
 func (j *job) receive(items []Item, done map[string]bool, marks map[string][]Mark) {
 	for _, i := range items {
 		p := join(marks[i.ID])
-		j.items[i.ID] = &item{Item: i, progress: p, marked: p.After, done: done[i.ID], readyAt: time.Now()}
+		p.Lineage = ""
+		j.items[i.ID] = &item{Item: i, progress: p, done: done[i.ID], readyAt: time.Now()}
 	}
 }
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -215,9 +215,8 @@
 		return errors.Wrapf(errMixed, "version %d", weights)
 	}
 	now := time.Now()
-	if i.progress.After == 0 {
-		r.runs++
-		i.progress.Lineage = r.self + "-" + strconv.Itoa(r.runs)
+	if i.progress.Lineage == "" {
+		i.progress.Lineage = r.lineage()
 	}
 	if d, ok := i.lap.event(now); ok {
 		r.paces.saw(s.ID, schedule.Base(d, r.loads[s.ID]))
@@ -229,6 +228,13 @@
 	return nil
 }
 
+// lineage names a text that this daemon begins or goes on with. It is called with
+// the mutex held.
+func (r *Runner) lineage() string {
+	r.runs++
+	return r.self + "-" + strconv.Itoa(r.runs)
+}
+
 // mixes reports whether an event would bring a second version of the weights
 // into a result that may have only one.
 func (r *Runner) mixes(j *job, i *item, weights int) bool {
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -106,7 +106,7 @@
 		return
 	}
 	for _, m := range taken {
-		if i := j.items[m.Item]; i != nil && i.marked == m.From {
+		if i := j.items[m.Item]; i != nil && i.progress.Lineage == m.Lineage && i.marked == m.From {
 			i.marked = m.To
 		}
 	}
@@ -116,18 +116,31 @@
 func (j *job) marks() []Mark {
 	var out []Mark
 	for _, i := range j.items {
-		if i.done || i.progress.After <= i.marked {
+		if i.done || i.progress.Lineage == "" || i.progress.After <= i.marked {
 			continue
 		}
+		to := i.stretch()
 		// Events are numbered from 1, so event n stands at n-1.
 		out = append(out, Mark{
-			Item: i.ID, Lineage: i.progress.Lineage, From: i.marked, To: i.progress.After, Data: i.progress.Data[i.marked:],
+			Item: i.ID, Lineage: i.progress.Lineage, From: i.marked, To: to, Data: i.progress.Data[i.marked:to],
 			Weights: i.progress.Weights, Failures: i.progress.Failures,
 		})
 	}
 	return out
 }
 
+// stretch returns the last event of the next checkpoint, which one row holds.
+func (i *item) stretch() int {
+	size := 0
+	for n := i.marked; n < i.progress.After; n++ {
+		size += len(i.progress.Data[n])
+		if size > chunkBytes && n > i.marked {
+			return n
+		}
+	}
+	return i.progress.After
+}
+
 // unwritten reports whether the store lacks results or progress.
 func (r *Runner) unwritten() bool {
 	r.mutex.Lock()
