--- a/internal/daemon/endtoend/cluster_test.go
+++ b/internal/daemon/endtoend/cluster_test.go
@@ -240,7 +240,7 @@
 
 func (c *cluster) awaitReady(d *daemon) {
 	c.t.Helper()
-	eventually(c.t, d.Name+" is ready", func() bool { return c.ready(d) })
+	eventually(c.t, d.name+" is ready", func() bool { return c.ready(d) })
 }
 
 func (c *cluster) ready(d *daemon) bool {
--- a/internal/daemon/endtoend/crash_test.go
+++ b/internal/daemon/endtoend/crash_test.go
@@ -24,7 +24,7 @@
 		crashed = true
 		for _, e := range c.engines {
 			if c.busy(e) {
-				e.Kill()
+				e.kill()
 				return
 			}
 		}
@@ -74,7 +74,7 @@
 	n := 0
 	for _, e := range c.engines {
 		select {
-		case <-e.Ended():
+		case <-e.ended:
 			n++
 		default:
 		}
@@ -89,7 +89,7 @@
 	m := &callerv1.GenerateRequest{Pool: string(pool), Prompt: "a story", MaxTokens: 80}
 	a, err := c.generate(0, callerKey, m, func(w text) {
 		if w.tokens == 20 {
-			c.daemons[0].Kill()
+			c.daemons[0].kill()
 		}
 	})
 	must.Error(t, err)
--- a/internal/daemon/endtoend/key_test.go
+++ b/internal/daemon/endtoend/key_test.go
@@ -97,7 +97,7 @@
 	c := newCluster(t, withSlowEngines(20))
 	s := c.stream(2)
 	s.awaitBegin(t)
-	c.daemons[2].Freeze()
+	c.daemons[2].freeze()
 	c.apply(0, c.withdrawn(), "member left")
 	must.True(t, c.keyRefused(0))
 	must.True(t, c.keyRefused(1))
@@ -108,7 +108,7 @@
 	// The kernel takes the connections of a frozen process; a third one, that
 	// is answered by nobody, shows that the others are on their way.
 	must.Error(t, c.try(http.MethodGet, c.daemons[2].settings.Listen.Metrics, "/readyz", nil))
-	c.daemons[2].Thaw()
+	c.daemons[2].thaw()
 	for range 2 {
 		a := <-late
 		must.NoError(t, a.err)
--- a/internal/daemon/endtoend/lease_test.go
+++ b/internal/daemon/endtoend/lease_test.go
@@ -50,7 +50,7 @@
 		old, epoch = c.holder(0, "Orders")
 		return old >= 0 && len(c.orders()) > 0
 	})
-	c.daemons[old].Freeze()
+	c.daemons[old].freeze()
 	other := (old + 1) % len(c.daemons)
 	var successor int
 	eventually(t, "another daemon takes over", func() bool {
@@ -69,7 +69,7 @@
 		return err == nil
 	})
 	eventually(t, "the successor orders", func() bool { return len(c.orders()) > before })
-	c.daemons[old].Thaw()
+	c.daemons[old].thaw()
 	eventually(t, "the thawed daemon knows the successor", func() bool {
 		h, e := c.holder(old, "Orders")
 		return h == successor && e > epoch
--- a/internal/daemon/endtoend/load_test.go
+++ b/internal/daemon/endtoend/load_test.go
@@ -76,7 +76,7 @@
 		})
 	}
 	eventually(t, "the load runs", func() bool { return sent.Load() > requests })
-	c.daemons[1].Kill()
+	c.daemons[1].kill()
 	g.Wait()
 	runs := c.runs()
 	whole := 0
--- a/internal/daemon/endtoend/process_test.go
+++ b/internal/daemon/endtoend/process_test.go
@@ -1,18 +1,19 @@
 package endtoend
 
 import (
-	"context"
+	"bytes"
 	"fmt"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/goleak"
-
-	"github.com/lacewingtally/lacewingtally/internal/standin/program"
 )
 
 const (
@@ -27,9 +28,32 @@
 // programs is the directory of the programs under test.
 var programs string
 
-// process is a running program of a test.
+// process is a running program.
 type process struct {
-	*program.Process
+	command *exec.Cmd
+	name    string
+	// ended is closed when the process has ended and err is set.
+	ended  chan struct{}
+	err    error
+	output *buffer
+}
+
+// buffer keeps what a process writes.
+type buffer struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.String()
 }
 
 func TestMain(m *testing.M) {
@@ -44,8 +68,10 @@
 	}
 	defer func() { _ = os.RemoveAll(d) }()
 	programs = d
-	if err := program.Build(context.Background(), filepath.Join("..", "..", ".."), d, []string{raceFlag}, "./cmd/lacewingtally", "./cmd/standin"); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	c := exec.Command("go", "build", raceFlag, "-o", d+string(filepath.Separator), "./cmd/lacewingtally", "./cmd/standin")
+	c.Dir = filepath.Join("..", "..", "..")
+	if out, err := c.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
 	}
 	code := m.Run()
@@ -58,39 +84,80 @@
 }
 
 // start runs a program until the test ends.
-func start(t *testing.T, name, file string, arguments ...string) *process {
+func start(t *testing.T, name, program string, arguments ...string) *process {
 	t.Helper()
-	run, err := program.Start(name, filepath.Join(programs, file), arguments...)
-	must.NoError(t, err)
-	p := &process{run}
+	p := &process{
+		command: exec.Command(filepath.Join(programs, program), arguments...),
+		name:    name,
+		ended:   make(chan struct{}),
+		output:  &buffer{},
+	}
+	p.command.Stdout, p.command.Stderr = p.output, p.output
+	p.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 atexit_sleep_ms=0")
+	// No process outlives the test's own, not even when that is killed.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must.NoError(t, p.command.Start())
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
 	t.Cleanup(func() {
-		p.Thaw()
-		p.Kill()
+		p.signal(syscall.SIGCONT)
+		p.kill()
 		if t.Failed() {
 			p.keep(t)
 		}
-		must.StrNotContains(t, p.Output(), "WARNING: DATA RACE", must.Sprint(name))
-		must.StrNotContains(t, p.Output(), "panic: ", must.Sprint(name))
+		must.StrNotContains(t, p.output.String(), "WARNING: DATA RACE", must.Sprint(name))
+		must.StrNotContains(t, p.output.String(), "panic: ", must.Sprint(name))
 	})
 	return p
 }
 
+// freeze stops the process as a hypervisor stops a VM.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+// kill ends the process without a chance to clean up.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.ended:
+	default:
+		_ = p.command.Process.Signal(s)
+	}
+}
+
 // terminate asks the process to end and waits until it has, with code 0.
 func (p *process) terminate(t *testing.T) {
 	t.Helper()
-	must.NoError(t, p.Terminate(pollLimit), must.Sprintf("%s:\n%s", p.Name, last(p.Output())))
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended:
+		must.NoError(t, p.err, must.Sprintf("%s:\n%s", p.name, last(p.output.String())))
+	case <-time.After(pollLimit):
+		t.Fatalf("%s does not end:\n%s", p.name, last(p.output.String()))
+	}
 }
 
 // keep writes the output of a process to a file, for a failed test.
 func (p *process) keep(t *testing.T) {
-	f, err := p.Keep(filepath.Join(os.TempDir(), "endtoend-failed", t.Name()))
-	if err != nil {
+	f := filepath.Join(os.TempDir(), "endtoend-failed", t.Name(), p.name)
+	if err := os.MkdirAll(filepath.Dir(f), 0o700); err != nil {
 		t.Log(err)
 		return
 	}
-	t.Logf("output of %s is in %s", p.Name, f)
+	if err := os.WriteFile(f, []byte(p.output.String()), 0o600); err != nil {
+		t.Log(err)
+		return
+	}
+	t.Logf("output of %s is in %s", p.name, f)
 }
 
+func (p *process) thaw() { p.signal(syscall.SIGCONT) }
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/internal/daemon/endtoend/silence_test.go
+++ b/internal/daemon/endtoend/silence_test.go
@@ -30,7 +30,7 @@
 		for _, e := range c.engines {
 			if c.busy(e) {
 				frozen = true
-				e.Freeze()
+				e.freeze()
 				return
 			}
 		}
--- a/internal/daemon/endtoend/soak_test.go
+++ b/internal/daemon/endtoend/soak_test.go
@@ -62,7 +62,7 @@
 	return []fault{
 		{name: "kill a daemon", run: func(c *cluster, r *rand.Rand) {
 			d := c.daemons[r.IntN(len(c.daemons))]
-			d.Kill()
+			d.kill()
 			pause(r, 3*time.Second)
 			c.startDaemon(d)
 		}},
@@ -73,20 +73,20 @@
 		}},
 		{name: "freeze a daemon", run: func(c *cluster, r *rand.Rand) {
 			d := c.daemons[r.IntN(len(c.daemons))]
-			d.Freeze()
+			d.freeze()
 			pause(r, longestFreeze)
-			d.Thaw()
+			d.thaw()
 		}},
 		{name: "freeze an engine", run: func(c *cluster, r *rand.Rand) {
 			e := c.engines[r.IntN(len(c.engines))]
-			e.Freeze()
+			e.freeze()
 			pause(r, longestFreeze)
-			e.Thaw()
+			e.thaw()
 		}},
 		{name: "freeze the service", run: func(c *cluster, r *rand.Rand) {
-			c.service.Freeze()
+			c.service.freeze()
 			pause(r, longestFreeze)
-			c.service.Thaw()
+			c.service.thaw()
 		}},
 		{name: "table out", run: tableFaultFor("Outage")},
 		{name: "table slow", run: tableFaultFor("Slow")},
