--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -294,7 +294,7 @@
 	return places*(r+1)/daemons - places*r/daemons
 }
 
-// Spare returns whether one of several daemons, which has no place on a server,
+// Spare reports whether one of several daemons, which has no place on a server,
 // may use one that others leave empty. Load is what all daemons run there, as far
 // as known. Turn changes with time, the same for all: in each turn only about as
 // many daemons may as there are places, though all see the same empty server.
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -161,6 +161,7 @@
 		f.log.Info("request failed", zap.String("Request", q.ID), zap.String("Route", r.Name),
 			zap.String("Workspace", workspace), zap.Int("Servers", len(x.tried)), zap.Bool("MayHaveRun", x.ran),
 			zap.Duration("Took", time.Since(q.ArrivedAt)), zap.Int("Known", len(f.fleet.Servers().List)),
+			zap.Duration("StoreAge", f.fleet.StoreAge()), zap.Duration("ConfigAge", f.fleet.ConfigAge()),
 			zap.Error(err), telemetry.Cause(err))
 	}
 	return err
