Let no fault of the proxies' matrix happen once it is healed

Cause, in the test: a step takes its armed fault and makes it happen in two moves; on a busy machine heal came between them, and the view was unconfirmed after it. Proof: with a busy loop between the two moves the test failed at once, in a cell of the same kind. With the mend and the loop it passes. Change: heal marks the injector, and no fault happens after it. No cell, bound or check is changed; the matrices of the package pass (5,049 cells).

--- a/internal/caller/proxy/matrix_test.go
+++ b/internal/caller/proxy/matrix_test.go
@@ -99,6 +99,9 @@
 	closedAt time.Time
 	// answersLost counts the commits whose answers are still to be lost.
 	answersLost int
+	// healed is set once no fault may happen any more: a step that was reached
+	// before may be about to make one.
+	healed bool
 }
 
 // arm sets the stand-ins' faults that are at a late step; those of the earlier
@@ -119,7 +122,7 @@
 func (i *injector) heal() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.armed = nil
+	i.armed, i.healed = nil, true
 	i.storeDownUntil, i.closedAt = time.Time{}, time.Time{}
 	i.answersLost = 0
 	i.fixture.source.Change(func(s *view.State) {
@@ -246,11 +249,11 @@
 
 // world makes a fault happen that is not of the connection.
 func (i *injector) world(f fault, s step) {
-	if i.standin(injection{fault: f, step: s}) {
-		return
-	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	if i.healed || i.standin(injection{fault: f, step: s}) {
+		return
+	}
 	switch f {
 	case faultDaemonDies:
 		i.fixture.daemons[0].kill()
