Collect the reports that a change of members needs while members live

Cause: the next set of members needs proof that a majority of the previous set holds the current one. Only the proposer (the region's first live member) asked for that proof, and only when it wanted a change. Regular pings go to members at distances of 1, 2, 4 and so on, so the proposer may never have heard from a member of a small previous set since the set changed. If that member then ends, its report can't be had any more, and the set can't change: in the failing runs the sets were {2,4} and {1,2,3,4}, 4 was killed, and daemon 1 had last heard from it at the set before.

Change: the region's first three live members ask the previous members for their reports as soon as a set is in use, until a majority has answered.

Ruled out: contact ages that circulate between peers (they only grow on the way), the removal bounds, lost commits (the proposals ended with "last change not yet held by a majority").

What stays: if the majority of a previous set ends within about a second of a change, the set waits until the platform's VM list shows those VMs as deleted.

--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,6 +165,34 @@
 	})
 }
 
+// TestMemberOfThePreviousSetFails kills one of the two members of the previous
+// set, long after the current set replaced it. Its removal requires proof that it
+// held the current set, and the daemon that removes it does not ping it regularly.
+// It runs several rounds because the order in which daemons join is random.
+func TestMemberOfThePreviousSetFails(t *testing.T) {
+	for range 10 {
+		synctest.Test(t, memberOfThePreviousSetFails)
+	}
+}
+
+func memberOfThePreviousSetFails(t *testing.T) {
+	c := newCluster(t)
+	defer c.close()
+	c.apply(0, configWithKeys("k"))
+	c.start(2, "r")
+	failing := c.start(4, "r")
+	time.Sleep(5 * time.Second)
+	proposer := c.start(1, "r")
+	c.start(3, "r")
+	time.Sleep(10 * time.Second)
+	c.kill(failing)
+	c.daemons = slices.DeleteFunc(c.daemons, func(d *daemon) bool { return d == failing })
+	time.Sleep(20 * time.Second)
+	s, err := proposer.Status(context.Background())
+	must.NoError(t, err)
+	must.Eq(t, 3, len(s.Peers))
+}
+
 func TestGracefulStopRemovesDaemonFromSet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t)
--- a/internal/peer/member/register.go
+++ b/internal/peer/member/register.go
@@ -24,6 +24,10 @@
 	// minorityRemoveAfter is how long a member must be unresponsive before a
 	// daemon in contact with less than a majority removes it.
 	minorityRemoveAfter = time.Minute
+	// collectors is the number of a region's first live members that collect the
+	// reports that a change of the set requires. Only the first one proposes
+	// changes; the next ones take over when it ends.
+	collectors = 3
 	// selfAddOneIn is the mean number of checks after which a daemon that waits
 	// for another member to add it tries to add itself.
 	selfAddOneIn = 10
@@ -79,7 +83,8 @@
 }
 
 // keepRegistered checks at intervals whether the set must change, and proposes
-// the change.
+// the change. Before that, it collects the reports that the next change requires:
+// once a member has ended, it can no longer report that it held the set.
 func (r *Runtime) keepRegistered(ctx context.Context) error {
 	for {
 		select {
@@ -87,6 +92,7 @@
 			return ctx.Err()
 		case <-time.After(jitter(registerInterval)):
 		}
+		r.collectReports(ctx)
 		due, err := r.shouldPropose(ctx)
 		if err != nil || !due {
 			continue
@@ -97,6 +103,26 @@
 	}
 }
 
+// collectReports pings the previous members until a majority of them has reported
+// that it holds the current set, if this daemon is one of the collectors.
+func (r *Runtime) collectReports(ctx context.Context) {
+	s, err := doResult(ctx, r, func(time.Time) member.Set { return r.setToCollect() })
+	if err == nil && s.Revision > 0 {
+		r.awaitReplaceable(ctx, s)
+	}
+}
+
+// setToCollect returns the current set if this daemon should collect reports that
+// it is held, and the zero Set otherwise.
+func (r *Runtime) setToCollect() member.Set {
+	c := &r.control
+	s := c.view.Set()
+	if s.Replaceable(c.evidence) || !inFirstOfRegion(c.members, r.self, collectors) {
+		return member.Set{}
+	}
+	return s
+}
+
 // shouldPropose reports whether this daemon should propose a change: to add
 // itself, or, as the first of the region's live members, any wanted change.
 func (r *Runtime) shouldPropose(ctx context.Context) (bool, error) {
@@ -263,6 +289,21 @@
 	return n
 }
 
+// inFirstOfRegion reports whether a daemon is among the first n members of its
+// region in an ordered list.
+func inFirstOfRegion(ms []fleet.Member, self fleet.Member, n int) bool {
+	for _, m := range ms {
+		switch {
+		case m.Region != self.Region:
+		case m.ID == self.ID:
+			return n > 0
+		default:
+			n--
+		}
+	}
+	return false
+}
+
 // firstInRegion returns the first member of a region in an ordered list, or the
 // zero MemberID.
 func firstInRegion(ms []fleet.Member, g fleet.Region) fleet.MemberID {
