Score the items of batch jobs by reward calls

Cause: items may have a reward call whose answer's signature is the score; the system listed such items as complete without one.

Change: control/reward decides when a call is sent and where, as plain values; front/batch keeps calls with the items, sends them once the text is complete, and lists text and score as one result; checkpoints record that a text is complete and how often servers failed its call.

--- /dev/null
+++ b/internal/control/reward/main_test.go
@@ -0,0 +1,11 @@
+package reward_test
+
+import (
+	"testing"
+
+	"github.com/lacewingtally/lacewingtally/internal/standin/suite"
+)
+
+func TestMain(m *testing.M) {
+	suite.Main(m)
+}
--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -87,6 +87,8 @@
 	// Weights is the version of the weights that process the request; 0 if
 	// unknown.
 	Weights int
+	// Stamp is the server's signature of the response; empty if there is none.
+	Stamp string
 	// Load is the load that the server reports, if Load.Known is set.
 	Load Load
 	// NewWeights returns the new version of the weights from the fields of an
--- a/internal/front/forward/balancer.go
+++ b/internal/front/balance/balance.go
@@ -1,4 +1,6 @@
-package forward
+// Package balance estimates how long a request takes on each backend server, from
+// the latency, load and failures that this daemon has observed.
+package balance
 
 import (
 	"maps"
@@ -23,14 +25,27 @@
 	fullLoadMillis = 60.0
 )
 
-// balancer chooses servers by the latency, load and failures that this daemon has
-// observed. The zero value has no observations. Its methods may be called from
-// any goroutine.
-type balancer struct {
+// Balancer chooses servers for requests. Domain must be set before use; otherwise
+// the zero value has no observations. Its methods may be called from any
+// goroutine.
+type Balancer struct {
+	// Domain is the daemon's failure domain.
+	Domain string
+
 	mutex   sync.Mutex
 	servers map[string]*serverStats
 }
 
+// Estimate is the state of a server as known to this daemon.
+type Estimate struct {
+	// Cost is the expected duration of a request, in milliseconds.
+	Cost float64
+	// RequestCost is what each further request adds to Cost.
+	RequestCost float64
+	// Running is the number of this daemon's requests on the server.
+	Running int
+}
+
 // serverStats holds the observations of one server.
 type serverStats struct {
 	// running is the number of this daemon's requests on the server.
@@ -43,10 +58,10 @@
 	load         backend.Load
 }
 
-// choose returns the server of a service with the lowest cost, and counts a
+// Choose returns the server of a service with the lowest cost, and counts a
 // request on it. It omits draining servers and those in tried, and returns false
 // if there is none left.
-func (b *balancer) choose(servers []backend.Server, service, domain string, tried map[string]bool) (backend.Server, bool) {
+func (b *Balancer) Choose(servers []backend.Server, service string, tried map[string]bool) (backend.Server, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := time.Now()
@@ -55,7 +70,7 @@
 		if s.Service != service || s.Draining || tried[s.ID] {
 			continue
 		}
-		if c := b.cost(s, domain, now); best < 0 || c < bestCost {
+		if c := b.cost(s, now); best < 0 || c < bestCost {
 			best, bestCost = i, c
 		}
 	}
@@ -69,8 +84,48 @@
 	return servers[best], true
 }
 
+// Estimate returns the state of a server.
+func (b *Balancer) Estimate(s backend.Server) Estimate {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return Estimate{
+		Cost: b.cost(s, time.Now()), RequestCost: fullLoadMillis / float64(s.Slots), Running: b.stats(s.ID).running,
+	}
+}
+
+// Begin counts a request on a server that was not chosen by Choose.
+func (b *Balancer) Begin(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.stats(id).running++
+}
+
+// Avoid makes a server the last choice for failureBackoff.
+func (b *Balancer) Avoid(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.stats(id).backoffUntil = time.Now().Add(failureBackoff)
+}
+
+// Done records the end of a request. After a failure, the server is avoided for
+// failureBackoff.
+func (b *Balancer) Done(id string, took time.Duration, load backend.Load, failed bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	r := b.stats(id)
+	r.running--
+	if load.Known {
+		r.load = load
+	}
+	if failed {
+		r.backoffUntil = time.Now().Add(failureBackoff)
+		return
+	}
+	r.latency += latencyWeight * (float64(took)/float64(time.Millisecond) - r.latency)
+}
+
 // prune drops servers that no longer exist and run no requests of this daemon.
-func (b *balancer) prune(servers []backend.Server) {
+func (b *Balancer) prune(servers []backend.Server) {
 	maps.DeleteFunc(b.servers, func(id string, r *serverStats) bool {
 		known := slices.ContainsFunc(servers, func(s backend.Server) bool { return s.ID == id })
 		return !known && r.running == 0
@@ -78,13 +133,13 @@
 }
 
 // cost estimates the duration of a request on a server, in milliseconds.
-func (b *balancer) cost(s backend.Server, domain string, now time.Time) float64 {
+func (b *Balancer) cost(s backend.Server, now time.Time) float64 {
 	r := b.stats(s.ID)
 	c := r.latency + fullLoadMillis*float64(r.running)/float64(s.Slots)
 	if r.load.Known && r.load.Slots > 0 {
 		c += fullLoadMillis * float64(r.load.Waiting) / float64(r.load.Slots)
 	}
-	if s.Domain != domain {
+	if s.Domain != b.Domain {
 		c += crossDomainMillis
 	}
 	if now.Before(r.backoffUntil) {
@@ -93,24 +148,7 @@
 	return c
 }
 
-// done records the end of a request. After a failure, the server is avoided for
-// failureBackoff.
-func (b *balancer) done(id string, took time.Duration, load backend.Load, failed bool) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	r := b.stats(id)
-	r.running--
-	if load.Known {
-		r.load = load
-	}
-	if failed {
-		r.backoffUntil = time.Now().Add(failureBackoff)
-		return
-	}
-	r.latency += latencyWeight * (float64(took)/float64(time.Millisecond) - r.latency)
-}
-
-func (b *balancer) stats(id string) *serverStats {
+func (b *Balancer) stats(id string) *serverStats {
 	if b.servers == nil {
 		b.servers = make(map[string]*serverStats)
 	}
--- a/internal/front/batch/demand.go
+++ b/internal/front/batch/demand.go
@@ -39,9 +39,9 @@
 	return sum
 }
 
-// Counts returns the numbers of running and waiting items of this daemon, and
-// of open jobs.
-func (r *Runner) Counts() (running, waiting, jobs int) {
+// Counts returns the numbers of items of this daemon that run, wait, and await
+// their score, and of open jobs.
+func (r *Runner) Counts() (running, waiting, scoring, jobs int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, j := range r.jobs {
@@ -51,6 +51,8 @@
 		jobs++
 		for _, i := range j.items {
 			switch {
+			case i.awaitsScore():
+				scoring++
 			case i.stop != nil:
 				running++
 			case !i.done:
@@ -58,5 +60,5 @@
 			}
 		}
 	}
-	return running, waiting, jobs
+	return running, waiting, scoring, jobs
 }
--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -62,6 +62,18 @@
 	Tokens int
 	// Limit is the maximum number of output tokens; 0 if unknown.
 	Limit int
+	// Reward is the call that scores the item's text; nil if it is not scored.
+	Reward *Reward
+}
+
+// Reward is a request to a service that scores the text of an item. It may be
+// sent more than once.
+type Reward struct {
+	ID string
+	// Host and Target determine the route; Target is the path and query to send.
+	Host   string
+	Target string
+	Body   []byte
 }
 
 // Head is the stored description of a job, without the bodies of its items. It
@@ -110,6 +122,9 @@
 	// Weights lists the versions of the weights that produced the text, in
 	// ascending order.
 	Weights []int
+	// Score is the reward service's signature of the score; empty if the item is
+	// not scored or is abandoned.
+	Score string
 }
 
 // Checkpoint is a stored range of consecutive events of an item.
@@ -124,8 +139,12 @@
 	// Data holds the data of the events.
 	Data    []string
 	Weights []int
-	// Failures are the failed runs so far.
-	Failures schedule.Failures
+	// Complete is whether the text ends with event To.
+	Complete bool
+	// Failures are the failed runs so far, and RewardFailures the failed reward
+	// calls.
+	Failures       schedule.Failures
+	RewardFailures schedule.Failures
 }
 
 // name returns the row name of a checkpoint; an item's checkpoints are sorted
@@ -143,21 +162,27 @@
 	After   int
 	Data    []string
 	Weights []int
-	// Failures are the failed runs.
-	Failures schedule.Failures
+	// Complete is whether Data is the complete output.
+	Complete bool
+	// Failures are the failed runs, and RewardFailures the failed reward calls.
+	Failures       schedule.Failures
+	RewardFailures schedule.Failures
 }
 
 // join concatenates an item's checkpoints, given in order of their names, and
-// returns the longest text of one lineage, with the most failures that any of
-// them contains. A checkpoint that does not directly
+// returns the complete text of one lineage, or else the longest one, with the
+// most failures that any of them contains. A checkpoint that does not directly
 // follow the previous one is skipped, because the one between them was lost.
 func join(checkpoints []Checkpoint) Progress {
 	var best, p Progress
-	var failures schedule.Failures
+	var failures, rewardFailures schedule.Failures
 	for _, c := range checkpoints {
 		if c.Failures.Runs > failures.Runs {
 			failures = c.Failures
 		}
+		if c.RewardFailures.Runs > rewardFailures.Runs {
+			rewardFailures = c.RewardFailures
+		}
 		if c.Lineage != p.Lineage {
 			p = Progress{Lineage: c.Lineage}
 		}
@@ -167,14 +192,24 @@
 		p.After = c.To
 		p.Data = append(p.Data, c.Data...)
 		p.Weights = union(p.Weights, c.Weights)
-		if p.After > best.After {
+		p.Complete = c.Complete
+		if p.betterThan(best) {
 			best = p
 		}
 	}
-	best.Failures = failures
+	best.Failures, best.RewardFailures = failures, rewardFailures
 	return best
 }
 
+// betterThan reports whether a daemon that takes the item over should continue
+// with p and not with o.
+func (p Progress) betterThan(o Progress) bool {
+	if p.Complete != o.Complete {
+		return p.Complete
+	}
+	return p.After > o.After
+}
+
 // union returns the versions of both lists in ascending order.
 func union(a, b []int) []int {
 	out := slices.Concat(a, b)
--- a/internal/front/batch/ledger.go
+++ b/internal/front/batch/ledger.go
@@ -160,8 +160,8 @@
 	var out [][]byte
 	for start := 0; start < len(items); {
 		end, size := start, 0
-		for end < len(items) && (end == start || size+len(items[end].Body) < chunkBytes) {
-			size += len(items[end].Body) + itemOverhead
+		for end < len(items) && (end == start || size+items[end].encodedSize() < chunkBytes) {
+			size += items[end].encodedSize()
 			end++
 		}
 		b, err := msgpack.Marshal(items[start:end])
@@ -174,8 +174,17 @@
 	return out, nil
 }
 
-// itemOverhead is the estimated encoded size of an item without its body, in
-// bytes.
+// encodedSize returns the estimated encoded size of an item, in bytes.
+func (i Item) encodedSize() int {
+	size := len(i.Body) + itemOverhead
+	if i.Reward != nil {
+		size += len(i.Reward.Body) + itemOverhead
+	}
+	return size
+}
+
+// itemOverhead is the estimated encoded size of an item or a reward call without
+// its body, in bytes.
 const itemOverhead = 400
 
 func chunkName(shard, n int) string {
--- a/internal/front/batch/openjob.go
+++ b/internal/front/batch/openjob.go
@@ -35,8 +35,10 @@
 	Item
 
 	progress Progress
-	// checkpointed is the last event that a stored checkpoint contains.
-	checkpointed int
+	// checkpointed is the last event that a stored checkpoint contains, and
+	// checkpointedEnd describes the checkpoint of the complete text.
+	checkpointed    int
+	checkpointedEnd checkpointedEnd
 	// lastServer, runs and waited (the total waiting time) are logged with the
 	// item's outcome.
 	lastServer string
@@ -62,7 +64,24 @@
 	moving bool
 	// timer measures the server's pace.
 	timer paceTimer
-	done  bool
+	// reward is the state of the reward call, and score its answer.
+	reward rewardCall
+	score  string
+	done   bool
+}
+
+// stopAll cancels the item's run and its reward call.
+func (i *item) stopAll() {
+	if i.stop != nil {
+		i.stop()
+	}
+	i.reward.stop()
+}
+
+// checkpointedEnd is what the stored checkpoints contain about the end of a text.
+type checkpointedEnd struct {
+	complete       bool
+	rewardFailures int
 }
 
 // addAccepted adds a job that this daemon has just created.
@@ -104,8 +123,8 @@
 	for _, i := range j.items {
 		if i.stop != nil {
 			stopped++
-			i.stop()
 		}
+		i.stopAll()
 	}
 	j.items = nil
 	r.log.Info("job ended, its running items stopped", zap.String("Job", id), zap.Int("Stopped", stopped))
--- a/internal/front/batch/openjob_test.go
+++ b/internal/front/batch/openjob_test.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
@@ -19,7 +20,7 @@
 	b, err := msgpack.Marshal(&h)
 	must.NoError(t, err)
 	m := &store.Memory{}
-	r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, &metrics.Metrics{}, "self", zap.NewNop())
+	r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
 	r.applyRows([]store.Row{
 		{Key: store.Key{Table: jobTable, Part: "j", Name: endName}, Value: []byte{1}},
 		{Key: store.Key{Table: jobTable, Part: "j", Name: headName}, Value: b},
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		for _, i := range j.items {
-			if i.done || i.stop != nil {
+			if i.done || i.stop != nil || i.progress.Complete {
 				continue
 			}
 			if w := r.toScheduleItem(j, i); w.Service != "" {
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -53,7 +53,7 @@
 	}
 	for _, j := range r.jobs {
 		i := j.items[p.Item.ID]
-		if i == nil || i.stop != nil || i.done {
+		if i == nil || i.stop != nil || i.done || i.progress.Complete {
 			continue
 		}
 		c, cancel := context.WithCancel(ctx)
@@ -108,7 +108,7 @@
 			i.notBefore = now.Add(refusedItemBackoff)
 		}
 	case status == http.StatusOK:
-		r.finish(j, i, Completed, "")
+		r.completeText(j, i)
 		return
 	case status == http.StatusUnprocessableEntity:
 		r.finish(j, i, Abandoned, refusal.ReasonServer)
@@ -134,9 +134,7 @@
 // completed. It is called with the mutex held.
 func (r *Runner) finish(j *job, i *item, s State, reason refusal.Reason) {
 	i.done = true
-	if i.stop != nil {
-		i.stop()
-	}
+	i.stopAll()
 	result := Result{ID: i.ID, State: s}
 	if s == Completed {
 		r.log.Info("item completed", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", i.lastServer),
@@ -144,12 +142,13 @@
 			zap.Duration("Waited", i.waited), zap.Ints("Weights", i.progress.Weights))
 		result.Text = strings.Join(i.progress.Data, "\n")
 		result.Weights = i.progress.Weights
+		result.Score = i.score
 	} else {
 		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", string(reason)),
 			zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures.Runs), zap.Strings("FailedOn", i.progress.Failures.Servers))
 	}
 	i.progress.Data = nil
-	i.Body = nil
+	i.Body, i.Reward = nil, nil
 	j.results = append(j.results, result)
 }
 
@@ -216,7 +215,7 @@
 		return errors.Wrapf(backend.ErrIncomplete, "event %d after %d", e.ID, i.progress.After)
 	}
 	if r.mixesVersions(j, i, weights) {
-		i.progress = Progress{Failures: i.progress.Failures}
+		i.progress = Progress{Failures: i.progress.Failures, RewardFailures: i.progress.RewardFailures}
 		i.checkpointed = 0
 		return errors.Wrapf(errWeightsChanged, "version %d", weights)
 	}
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -10,6 +10,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
@@ -35,13 +36,15 @@
 
 // Runner runs the items that belong to this daemon. Use NewRunner.
 type Runner struct {
-	client backend.Client
-	fleet  *fleet.State
-	ledger Ledger
-	log    *zap.Logger
+	balancer *balance.Balancer
+	client   backend.Client
+	fleet    *fleet.State
+	ledger   Ledger
+	log      *zap.Logger
 	// metrics may be the zero value, which discards everything.
-	metrics *metrics.Metrics
-	self    string
+	metrics  *metrics.Metrics
+	self     string
+	suspects Suspects
 	// wake triggers a step of Serve.
 	wake chan struct{}
 
@@ -62,12 +65,13 @@
 	work         sync.WaitGroup
 }
 
-// NewRunner returns a Runner for the daemon self.
+// NewRunner returns a Runner for the daemon self. Reward calls share b and s with
+// live requests, which use the same servers.
 func NewRunner(
-	f *fleet.State, l Ledger, c backend.Client, m *metrics.Metrics, self string, log *zap.Logger,
+	f *fleet.State, l Ledger, c backend.Client, b *balance.Balancer, s Suspects, m *metrics.Metrics, self string, log *zap.Logger,
 ) *Runner {
 	return &Runner{
-		client: c, fleet: f, ledger: l, log: log, metrics: m, self: self,
+		balancer: b, client: c, fleet: f, ledger: l, log: log, metrics: m, self: self, suspects: s,
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job),
 	}
 }
@@ -106,9 +110,7 @@
 	r.leaving = true
 	for _, j := range r.jobs {
 		for _, i := range j.items {
-			if i.stop != nil {
-				i.stop()
-			}
+			i.stopAll()
 		}
 	}
 	r.mutex.Unlock()
@@ -148,6 +150,7 @@
 		for _, p := range schedule.Place(now, r.waiting(), servers) {
 			r.start(ctx, p)
 		}
+		r.sendRewards(ctx, now)
 	}
 	r.mutex.Unlock()
 	r.writeAllResults(ctx)
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -111,6 +111,7 @@
 	for _, w := range written {
 		if i := j.items[w.Item]; i != nil && i.progress.Lineage == w.Lineage && i.checkpointed == w.From {
 			i.checkpointed = w.To
+			i.checkpointedEnd = checkpointedEnd{complete: w.Complete, rewardFailures: w.RewardFailures.Runs}
 		}
 	}
 }
@@ -120,19 +121,30 @@
 func (j *job) pendingCheckpoints() []Checkpoint {
 	var out []Checkpoint
 	for _, i := range j.items {
-		if i.done || i.progress.Lineage == "" || i.progress.After <= i.checkpointed {
+		if i.done || i.progress.Lineage == "" || i.isCheckpointed() {
 			continue
 		}
 		to := i.checkpointEnd()
 		// Events are numbered from 1, so event n is at index n-1.
 		out = append(out, Checkpoint{
 			Item: i.ID, Lineage: i.progress.Lineage, From: i.checkpointed, To: to, Data: i.progress.Data[i.checkpointed:to],
-			Weights: i.progress.Weights, Failures: i.progress.Failures,
+			Weights: i.progress.Weights, Complete: i.progress.Complete && to == i.progress.After,
+			Failures: i.progress.Failures, RewardFailures: i.progress.RewardFailures,
 		})
 	}
 	return out
 }
 
+// isCheckpointed reports whether the stored checkpoints contain all of an item's
+// progress.
+func (i *item) isCheckpointed() bool {
+	if i.progress.After > i.checkpointed {
+		return false
+	}
+	return !i.progress.Complete ||
+		i.checkpointedEnd == checkpointedEnd{complete: true, rewardFailures: i.progress.RewardFailures.Runs}
+}
+
 // checkpointEnd returns the last event of the next checkpoint, which must fit
 // one row.
 func (i *item) checkpointEnd() int {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/batch"
 	"github.com/lacewingtally/lacewingtally/internal/front/duty"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -130,17 +131,18 @@
 	d.relay.Handle(&d.mux)
 	d.fleet = fleet.New(d.relay, p.Codec, log)
 	ledger := batch.Ledger{Store: d.relay}
-	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, p.Metrics, self, log)
+	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
+	servers := &balance.Balancer{Domain: s.Domain}
+	d.forwarder = forward.New(d.fleet, p.Servers, servers, d.meter, p.Metrics, self, log)
+	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, servers, d.forwarder, p.Metrics, self, log)
 	d.runner.Handle(&d.mux)
 	d.fleet.Handle(&d.mux)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
 	d.sweeper = batch.NewSweeper(d.fleet, ledger, s.Bounds.KeepResults, self, log)
 	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
 	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.ExpectedTokens, d.notifyLoads, self, log)
-	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
 	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.TokenRate, self, log)
-	d.forwarder = forward.New(d.fleet, p.Servers, d.meter, p.Metrics, self, s.Domain, log)
 	return d
 }
 
@@ -197,11 +199,11 @@
 	leftOut := int64(0)
 	for ctx.Err() == nil {
 		fleet.Sleep(ctx, sampleInterval)
-		running, waiting, open := d.runner.Counts()
+		running, waiting, scoring, open := d.runner.Counts()
 		_, err := d.keeper.Check()
 		s := metrics.Sample{
 			ConfigAge: d.fleet.ConfigAge(), MembersAge: d.fleet.MembersAge(),
-			DutyHeld: err == nil, ItemsRunning: running, ItemsWaiting: waiting, JobsOpen: open,
+			DutyHeld: err == nil, ItemsRunning: running, ItemsWaiting: waiting, ItemsScoring: scoring, JobsOpen: open,
 			LinesLeftOut: d.dependencies.LinesLeftOut(), Members: len(d.fleet.Members().List),
 			Servers: len(d.fleet.Servers().List), StoreAge: d.fleet.StoreAge(), StoreRelayed: d.relay.Unreachable(),
 		}
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -172,7 +172,7 @@
 	if c.sent >= c.route.MaxServers {
 		return false
 	}
-	s, ok := c.balancer.choose(c.fleet.Servers().List, c.service, c.domain, c.tried)
+	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.tried)
 	if !ok {
 		return false
 	}
@@ -182,9 +182,9 @@
 		start := time.Now()
 		o := c.attempt(ctx, s)
 		failed := o.err != nil && ctx.Err() == nil || o.notRun
-		c.balancer.done(s.ID, time.Since(start), o.load, failed)
+		c.balancer.Done(s.ID, time.Since(start), o.load, failed)
 		if errors.Is(o.err, backend.ErrIncomplete) && ctx.Err() == nil {
-			c.suspects.add(c.fingerprint, time.Now())
+			c.Suspect(c.fingerprint)
 		}
 		c.metrics.Attempt(metrics.KindLive, o.name(), s.Address.String(), time.Since(start))
 		results <- o
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/telemetry"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 )
@@ -52,15 +53,14 @@
 // Forwarder sends requests to servers. Use New. Its methods may be called from
 // any goroutine.
 type Forwarder struct {
-	client  backend.Client
-	domain  string
-	fleet   *fleet.State
-	log     *zap.Logger
-	meter   Meter
-	metrics *metrics.Metrics
+	balancer *balance.Balancer
+	client   backend.Client
+	fleet    *fleet.State
+	log      *zap.Logger
+	meter    Meter
+	metrics  *metrics.Metrics
 	// self is the daemon's ID in the fleet.
 	self     string
-	balancer balancer
 	suspects suspects
 }
 
@@ -86,9 +86,9 @@
 	rounds int
 }
 
-// New returns a Forwarder for the daemon self in a failure domain.
-func New(f *fleet.State, c backend.Client, m Meter, counts *metrics.Metrics, self, domain string, log *zap.Logger) *Forwarder {
-	return &Forwarder{client: c, domain: domain, fleet: f, log: log, meter: m, metrics: counts, self: self}
+// New returns a Forwarder for the daemon self.
+func New(f *fleet.State, c backend.Client, b *balance.Balancer, m Meter, counts *metrics.Metrics, self string, log *zap.Logger) *Forwarder {
+	return &Forwarder{balancer: b, client: c, fleet: f, log: log, meter: m, metrics: counts, self: self}
 }
 
 // Admit returns the route and the workspace of a request. Its error is a
@@ -147,7 +147,7 @@
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	fingerprint := quarantine.FingerprintOf(base.Workspace(workspace), q.Method, q.Target, string(q.Body))
-	if f.quarantined(fingerprint) {
+	if f.Quarantined(fingerprint) {
 		return refusal.GaveUp(refusal.ReasonQuarantine, time.Now().Add(suspectRetention), nil)
 	}
 	c := &call{Forwarder: f, request: q, route: r, service: r.Service(q.ID), sink: s, tried: make(map[string]bool), fingerprint: fingerprint}
--- a/internal/front/forward/forward_test.go
+++ b/internal/front/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
@@ -91,7 +92,7 @@
 	cancel()
 	must.NoError(t, <-done)
 	meter := &fakeMeter{}
-	return New(state, c, meter, &metrics.Metrics{}, "self", "d", zap.NewNop()), meter
+	return New(state, c, &balance.Balancer{Domain: "d"}, meter, &metrics.Metrics{}, "self", zap.NewNop()), meter
 }
 
 // checkRefusal checks the kind and the reason of a refusal error.
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -20,7 +20,7 @@
 	started := false
 	cause := errNoServer
 	for ctx.Err() == nil {
-		s, ok := c.balancer.choose(c.fleet.Servers().List, c.service, c.domain, c.tried)
+		s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.tried)
 		if !ok && !started {
 			break
 		}
@@ -32,7 +32,7 @@
 		c.tried[s.ID] = true
 		start := time.Now()
 		err := c.streamFrom(ctx, s, &started)
-		c.balancer.done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
+		c.balancer.Done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
 		c.metrics.Attempt(metrics.KindLive, outcome{err: err}.name(), s.Address.String(), time.Since(start))
 		if err == nil {
 			return nil
--- a/internal/front/forward/suspects.go
+++ b/internal/front/forward/suspects.go
@@ -70,9 +70,14 @@
 	return f.suspects.active(time.Now())
 }
 
-// quarantined reports whether too many servers failed during a request, according
+// Suspect counts a server failure during a request.
+func (f *Forwarder) Suspect(p quarantine.Fingerprint) {
+	f.suspects.add(p, time.Now())
+}
+
+// Quarantined reports whether too many servers failed during a request, according
 // to this daemon and the heartbeats of the others.
-func (f *Forwarder) quarantined(p quarantine.Fingerprint) bool {
+func (f *Forwarder) Quarantined(p quarantine.Fingerprint) bool {
 	total := f.Suspects()[uint64(p)]
 	for _, m := range f.fleet.Members().List {
 		if m.ID != f.self {
--- a/internal/front/metrics/metrics.go
+++ b/internal/front/metrics/metrics.go
@@ -22,6 +22,7 @@
 	ConfigVersion  Name = "config_version"
 	DutyHeld       Name = "duty_held"
 	ItemsRunning   Name = "items_running"
+	ItemsScoring   Name = "items_scoring"
 	ItemsWaiting   Name = "items_waiting"
 	JobsOpen       Name = "jobs_open"
 	LinesLeftOut   Name = "log_lines_left_out"
@@ -63,7 +64,7 @@
 // Names returns all names.
 func Names() []Name {
 	return []Name{
-		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemsRunning, ItemsWaiting, JobsOpen,
+		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemsRunning, ItemsScoring, ItemsWaiting, JobsOpen,
 		LinesLeftOut, Members, MembersAge, RequestSeconds, Requests, ServerFailures, Servers, StoreAge, StoreRelayed,
 	}
 }
@@ -75,6 +76,7 @@
 	ConfigVersion int64
 	DutyHeld      bool
 	ItemsRunning  int
+	ItemsScoring  int
 	ItemsWaiting  int
 	JobsOpen      int
 	LinesLeftOut  int64
@@ -169,6 +171,7 @@
 	m.gauge(ConfigVersion, float64(s.ConfigVersion))
 	m.gauge(DutyHeld, boolValue(s.DutyHeld))
 	m.gauge(ItemsRunning, float64(s.ItemsRunning))
+	m.gauge(ItemsScoring, float64(s.ItemsScoring))
 	m.gauge(ItemsWaiting, float64(s.ItemsWaiting))
 	m.gauge(JobsOpen, float64(s.JobsOpen))
 	m.gauge(LinesLeftOut, float64(s.LinesLeftOut))
--- a/internal/front/metrics/outcome.go
+++ b/internal/front/metrics/outcome.go
@@ -14,6 +14,7 @@
 	KindItem   = "Item"
 	KindJob    = "Job"
 	KindLive   = "Live"
+	KindReward = "Reward"
 	KindSubmit = "Submit"
 )
 
@@ -29,7 +30,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []string {
-	return []string{KindBody, KindItem, KindJob, KindLive, KindSubmit}
+	return []string{KindBody, KindItem, KindJob, KindLive, KindReward, KindSubmit}
 }
 
 // Outcomes returns all outcomes except the reasons of refusals.
