Accept jobs that need more than one transaction

Cause: a job's head and all bodies were written in one transaction, at least one row for each daemon that runs items (one for 36 slots).

Change: a job that one transaction can't hold has its bodies written first, in transactions the store accepts, under a name only this submission uses; the head makes the job exist. An interrupted submission leaves bodies without a head, which the sweeper removes after 30 s, by their names. A job of the usual size is one transaction, as before.

--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -18,8 +18,13 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 )
 
-// ErrNotFound is returned when a job or item does not exist.
-var ErrNotFound = errors.New("batch: not found")
+// Errors of a Service.
+var (
+	// ErrNotFound is returned when a job or item does not exist.
+	ErrNotFound = errors.New("batch: not found")
+	// ErrTooLarge is returned when the store cannot hold a job, whatever its load.
+	ErrTooLarge = errors.New("batch: job too large")
+)
 
 // States of a Result.
 const (
@@ -95,10 +100,16 @@
 	// Shards are the items grouped by daemon; ItemHead.Shard is an index into
 	// it.
 	Shards []Shard `msgpack:"Parcels"`
+	// BodySet is the common part of the names of the rows that hold the bodies. It
+	// is empty if they were written together with the head.
+	BodySet string
 }
 
-// ItemHead is the description of an item without its body.
+// ItemHead is the description of an item without its body. It is encoded by
+// position, because all items of a job must fit one row.
 type ItemHead struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // msgpack reads its tag
+
 	ID     string
 	Group  string
 	Tokens int
--- a/internal/front/batch/ledger.go
+++ b/internal/front/batch/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,8 +31,10 @@
 )
 
 const (
-	// chunkBytes limits a row of bodies or results; the store accepts 64 KiB.
+	// chunkBytes limits a row of bodies or results; the store accepts maxRowBytes.
 	chunkBytes = 48 << 10
+	// maxRowBytes is the maximum length of a row's value.
+	maxRowBytes = 64 << 10
 	// maxIndexRows limits the rows of an index that one call reads.
 	maxIndexRows = 500
 	// maxTxnEntries limits the entries of one transaction.
@@ -65,37 +66,12 @@
 	return maxIndexRows
 }
 
-// create writes a new job. Its errors are those of a store; store.ErrConflict
-// means that the job exists already.
-func (l Ledger) create(ctx context.Context, h Head, shards [][]Item) error {
-	var t store.Txn
-	for i, items := range shards {
-		chunks, err := chunk(items)
-		if err != nil {
-			return err
-		}
-		h.Shards[i].Chunks = len(chunks)
-		for n, b := range chunks {
-			t.Puts = append(t.Puts, store.Row{Key: store.Key{Table: bodyTable, Part: h.ID, Name: chunkName(i, n)}, Value: b})
-		}
-	}
-	b, err := msgpack.Marshal(&h)
-	if err != nil {
-		return errors.Wrap(err, "batch: head")
-	}
-	head := store.Key{Table: jobTable, Part: h.ID, Name: headName}
-	t.Conditions = []store.Row{{Key: head}}
-	t.Puts = append(t.Puts, store.Row{Key: head, Value: b})
-	_, err = l.Store.Commit(ctx, t)
-	return err
-}
-
-// bodies reads the items of a shard.
-func (l Ledger) bodies(ctx context.Context, id string, shard int) ([]Item, error) {
+// bodies reads the items of a job's shard.
+func (l Ledger) bodies(ctx context.Context, h Head, shard int) ([]Item, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	s, err := store.ReadAll(ctx, l.Store, store.Range{
-		Table: bodyTable, Part: id, From: chunkName(shard, 0), To: chunkName(shard+1, 0),
+		Table: bodyTable, Part: h.ID, From: chunkName(h.BodySet, shard, 0), To: chunkName(h.BodySet, shard+1, 0),
 	})
 	if err != nil {
 		return nil, err
@@ -154,39 +130,3 @@
 	err := msgpack.Unmarshal(b, &h)
 	return h, errors.Wrap(err, "batch: head")
 }
-
-// chunk encodes items in rows no larger than the store accepts.
-func chunk(items []Item) ([][]byte, error) {
-	var out [][]byte
-	for start := 0; start < len(items); {
-		end, size := start, 0
-		for end < len(items) && (end == start || size+items[end].encodedSize() < chunkBytes) {
-			size += items[end].encodedSize()
-			end++
-		}
-		b, err := msgpack.Marshal(items[start:end])
-		if err != nil {
-			return nil, errors.Wrap(err, "batch: bodies")
-		}
-		out = append(out, b)
-		start = end
-	}
-	return out, nil
-}
-
-// encodedSize returns the estimated encoded size of an item, in bytes.
-func (i Item) encodedSize() int {
-	size := len(i.Body) + itemOverhead
-	if i.Reward != nil {
-		size += len(i.Reward.Body) + itemOverhead
-	}
-	return size
-}
-
-// itemOverhead is the estimated encoded size of an item or a reward call without
-// its body, in bytes.
-const itemOverhead = 400
-
-func chunkName(shard, n int) string {
-	return fmt.Sprintf("%04d-%04d", shard, n)
-}
--- a/internal/front/batch/ownership.go
+++ b/internal/front/batch/ownership.go
@@ -106,7 +106,7 @@
 	g.SetLimit(parallelReads)
 	for i, s := range shards {
 		g.Go(func() (err error) {
-			bodies[i], err = r.ledger.bodies(c, j.head.ID, s)
+			bodies[i], err = r.ledger.bodies(c, j.head, s)
 			return err
 		})
 	}
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -241,6 +241,14 @@
 	return r.self + "-" + strconv.Itoa(r.lineageCount)
 }
 
+// newBodySet returns a new, unique name for the bodies of a job.
+func (r *Runner) newBodySet() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.bodySetCount++
+	return r.self + "-" + strconv.Itoa(r.bodySetCount)
+}
+
 // mixesVersions reports whether an event would add a second version of the
 // weights to a result that may have only one.
 func (r *Runner) mixesVersions(j *job, i *item, weights int) bool {
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -62,6 +62,8 @@
 	pageCount int
 	// lineageCount is the number of lineages that this daemon has begun.
 	lineageCount int
+	// bodySetCount is the number of body sets that this daemon has named.
+	bodySetCount int
 	work         sync.WaitGroup
 }
 
--- a/internal/front/batch/service.go
+++ b/internal/front/batch/service.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// acceptTimeout limits one attempt to write a job.
-	acceptTimeout = 900 * time.Millisecond
+	// acceptLimit limits the time to write a job.
+	acceptLimit = 15 * time.Second
 	// acceptAttempts is the maximum number of attempts to write a job.
 	acceptAttempts = 3
 	// pollInterval is the time between two reads of the index while a caller
@@ -54,28 +54,32 @@
 	return &Service{fleet: f, ledger: l, log: log, runner: r}
 }
 
-// Submit accepts a job; submitting the same ID again has no effect. Its error
-// is a *refusal.Error; NotRun guarantees that no item of the job runs.
+// Submit accepts a job; submitting the same ID again has no effect. Its error is
+// ErrTooLarge or a *refusal.Error; NotRun guarantees that no item of the job runs.
 func (s *Service) Submit(ctx context.Context, j Submission) error {
 	now, ok := s.fleet.Clock.Now()
 	if !ok {
 		return unavailable(store.ErrUnavailable)
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptLimit)
+	defer cancel()
 	h, shards := assignItems(j, now, s.runner.runners())
+	bodySet := s.runner.newBodySet()
 	mayBeWritten := false
 	for range acceptAttempts {
-		c, cancel := context.WithTimeout(ctx, acceptTimeout)
-		err := s.ledger.create(c, h, shards)
-		cancel()
+		written, err := s.ledger.create(ctx, h, shards, bodySet)
 		switch {
 		case err == nil:
 			s.log.Info("job accepted", zap.String("Job", j.ID), zap.String("Workspace", j.Workspace),
 				zap.Int("Step", j.Step), zap.Int("MinVersion", j.MinVersion), zap.Int("Items", len(j.Items)))
-			s.runner.addAccepted(h, shards)
+			s.runner.addAccepted(written, shards)
 			return nil
 		case errors.Is(err, store.ErrConflict):
 			s.log.Info("job already accepted", zap.String("Job", j.ID))
 			return nil
+		case errors.Is(err, ErrTooLarge):
+			s.log.Warn("job too large", zap.String("Job", j.ID), zap.Int("Items", len(j.Items)), zap.Error(err))
+			return ErrTooLarge
 		case errors.Is(err, store.ErrUnknown):
 			mayBeWritten = true
 		case !errors.Is(err, store.ErrUnavailable):
@@ -130,7 +134,7 @@
 		if i.ID != item {
 			continue
 		}
-		items, err := s.ledger.bodies(ctx, id, i.Shard)
+		items, err := s.ledger.bodies(ctx, h, i.Shard)
 		if err != nil {
 			return nil, unavailable(err)
 		}
--- a/internal/front/batch/sweep.go
+++ b/internal/front/batch/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,18 +19,32 @@
 	sweepTask = "sweep"
 	// sweepMargin is added to the time for which results must be kept.
 	sweepMargin = 30 * time.Second
+	// headlessRetention is how long bodies without a head are kept. It is longer
+	// than acceptLimit, so that the head of a job that is being written is not
+	// missed.
+	headlessRetention = 30 * time.Second
 	// openJobFactor is the factor by which a job is kept longer if it has not been
 	// ended.
 	openJobFactor = 20
 )
 
-// Sweeper removes expired jobs from the store. Use NewSweeper.
+// Sweeper removes expired jobs from the store, and bodies of jobs that were never
+// accepted. Use NewSweeper.
 type Sweeper struct {
 	fleet  *fleet.State
 	keep   time.Duration
 	ledger Ledger
 	log    *zap.Logger
 	self   string
+	// headless holds the bodies without a head that the last sweep found, by job.
+	headless map[string]headlessBodies
+}
+
+// headlessBodies are bodies of a job that has no head.
+type headlessBodies struct {
+	keys []store.Key
+	// seenAt is when a sweep first found them, by the store's clock.
+	seenAt time.Time
 }
 
 // NewSweeper returns a Sweeper that keeps ended jobs for the duration keep
@@ -72,6 +87,71 @@
 		}
 		s.log.Info("expired job removed", zap.String("Job", id))
 	}
+	return s.sweepHeadless(ctx, now)
+}
+
+// sweepHeadless removes bodies that had no head for headlessRetention: their
+// submission was interrupted. Bodies that a repeated submission has written since
+// have other names and are kept.
+func (s *Sweeper) sweepHeadless(ctx context.Context, now time.Time) error {
+	withBodies, err := s.ledger.Store.Parts(ctx, bodyTable)
+	if err != nil {
+		return err
+	}
+	// The heads are read after the bodies, so that a new job counts as having one.
+	withHeads, err := s.ledger.Store.Parts(ctx, jobTable)
+	if err != nil {
+		return err
+	}
+	before := s.headless
+	s.headless = make(map[string]headlessBodies)
+	for _, id := range withBodies {
+		if slices.Contains(withHeads, id) {
+			continue
+		}
+		b, seen := before[id]
+		if !seen {
+			if b, err = s.ledger.headlessBodies(ctx, id, now); err != nil {
+				return err
+			}
+		}
+		if now.Sub(b.seenAt) < headlessRetention {
+			s.headless[id] = b
+			continue
+		}
+		if err := s.ledger.removeKeys(ctx, b.keys); err != nil {
+			return err
+		}
+		s.log.Info("bodies of a job that was not accepted removed", zap.String("Job", id), zap.Int("Rows", len(b.keys)))
+	}
+	return nil
+}
+
+// headlessBodies reads the keys of the bodies of a job.
+func (l Ledger) headlessBodies(ctx context.Context, id string, now time.Time) (headlessBodies, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := store.ReadAll(ctx, l.Store, store.Range{Table: bodyTable, Part: id})
+	if err != nil {
+		return headlessBodies{}, err
+	}
+	b := headlessBodies{seenAt: now}
+	for _, r := range rows.Rows {
+		b.keys = append(b.keys, r.Key)
+	}
+	return b, nil
+}
+
+// removeKeys removes rows of one part.
+func (l Ledger) removeKeys(ctx context.Context, keys []store.Key) error {
+	for part := range slices.Chunk(keys, maxTxnEntries) {
+		c, cancel := context.WithTimeout(ctx, readTimeout)
+		_, err := l.Store.Commit(c, store.Txn{Removes: part})
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/internal/front/batch/sweep_test.go
+++ b/internal/front/batch/sweep_test.go
@@ -25,7 +25,8 @@
 		results = append(results, Result{ID: id, State: Completed, Text: "t"})
 	}
 	h := Head{ID: "j", SubmittedAt: submitted.UnixMilli(), Shards: []Shard{{Member: "a"}}}
-	must.NoError(t, l.create(t.Context(), h, [][]Item{items}))
+	_, err := l.create(t.Context(), h, [][]Item{items}, "a-1")
+	must.NoError(t, err)
 	for n := range 3 {
 		_, _, err := l.writePage(t.Context(), "j", fmt.Sprint("p", n), results[n*10:n*10+10])
 		must.NoError(t, err)
