Follow the changes of the servers' rows instead of reading all

Cause: each daemon read the rows of all servers every 0.3 s, or every 5 ms times their number: with 998 servers a change was noticed after up to 5 s, with 3,002 after 15 s, far beyond the time that a leaving server goes on serving; and bytes grew with daemons times servers.

Change: fleet.Follow serves this table as well. A daemon reads all rows once, then their changes, and does nothing while there are none. Servers whose rows expired in an outage are kept for expiredRowGrace as before, whether the daemon learns of them by a read or by changes; the wait for changes ends when that time does.

Proof: TestChangedRowsAreApplied, TestAnswerWithoutChangesCostsNothing, and the test of expired rows for both ways.

--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -80,7 +80,9 @@
 
 // Serve runs items until the context ends.
 func (r *Runner) Serve(ctx context.Context) error {
-	go fleet.Follow(ctx, r.fleet, jobTable, r.readJobs, r.applyRows)
+	go fleet.Follow(ctx, r.fleet, fleet.Subscription{
+		Table: jobTable, Read: r.readJobs, Apply: func(u fleet.Update) { r.applyRows(u.Rows) },
+	})
 	t := time.NewTicker(stepInterval)
 	defer t.Stop()
 	var ownersAt, checkpointsAt time.Time
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -150,7 +150,9 @@
 
 // ServeOperator follows the operators' table until the context ends.
 func (f *State) ServeOperator(ctx context.Context) error {
-	Follow(ctx, f, f.codec.OperatorTable, f.readOperator, f.applyOperatorRows)
+	Follow(ctx, f, Subscription{
+		Table: f.codec.OperatorTable, Read: f.readOperator, Apply: func(u Update) { f.applyOperatorRows(u.Rows) },
+	})
 	return nil
 }
 
--- a/internal/front/fleet/follow.go
+++ b/internal/front/fleet/follow.go
@@ -18,40 +18,66 @@
 	retryInterval = 100 * time.Millisecond
 )
 
-// Follow reads a complete table and passes its rows, then each change of it, to
-// apply until the context ends. It reads the table again if the store no longer
-// has the history since the last change.
-func Follow(ctx context.Context, f *State, table string, read func(context.Context) (store.Snapshot, error), apply func([]store.Row)) {
+// Update is what one call of a followed table returned.
+type Update struct {
+	// Rows are all rows of the table if Complete is set, and otherwise those that
+	// changed since the last update, which may be none.
+	Rows     []store.Row
+	Complete bool
+}
+
+// Subscription describes a table to follow.
+type Subscription struct {
+	Table string
+	// Interval is the minimum time from the end of a call to the next one; changes
+	// that come in the meantime are read together.
+	Interval time.Duration
+	// Wait returns how long the next call may wait for a change; if nil, calls wait
+	// for feedWait.
+	Wait func() time.Duration
+	// Read reads the complete table.
+	Read func(context.Context) (store.Snapshot, error)
+	// Apply applies what a call returned.
+	Apply func(Update)
+}
+
+// Follow reads a complete table, then each change of it, until the context ends. It
+// reads the table again if the store no longer has the history since the last
+// change.
+func Follow(ctx context.Context, f *State, s Subscription) {
 	after, known := int64(0), false
-	for ctx.Err() == nil {
+	for ; ctx.Err() == nil; Sleep(ctx, s.Interval) {
 		sentAt := Uptime()
-		s, err := followOnce(ctx, f.store, table, after, known, read)
+		r, err := s.next(ctx, f.store, after, known)
 		if errors.Is(err, store.ErrCompacted) {
-			f.log.Info("feed history compacted; reading the table again", zap.String("Table", table), zap.Int64("After", after))
+			f.log.Info("feed history compacted; reading the table again", zap.String("Table", s.Table), zap.Int64("After", after))
 			known = false
 			continue
 		}
 		if err != nil {
-			f.recordFailure(table, err)
+			f.recordFailure(s.Table, err)
 			Sleep(ctx, retryInterval)
 			continue
 		}
-		f.recordRead(table, s, sentAt)
-		apply(s.Rows)
-		after, known = max(after, s.Version), true
+		f.recordRead(s.Table, r, sentAt)
+		s.Apply(Update{Rows: r.Rows, Complete: !known})
+		after, known = max(after, r.Version), true
 	}
 }
 
-func followOnce(
-	ctx context.Context, s store.Store, table string, after int64, known bool,
-	read func(context.Context) (store.Snapshot, error),
-) (store.Snapshot, error) {
+// next makes one call: it reads the complete table unless it is known as of the
+// version after.
+func (s Subscription) next(ctx context.Context, from store.Store, after int64, known bool) (store.Snapshot, error) {
 	if known {
-		return s.Feed(ctx, table, after, feedWait)
+		wait := feedWait
+		if s.Wait != nil {
+			wait = s.Wait()
+		}
+		return from.Feed(ctx, s.Table, after, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return read(ctx)
+	return s.Read(ctx)
 }
 
 // Sleep waits for d or until the context ends.
--- a/internal/front/fleet/peerquery.go
+++ b/internal/front/fleet/peerquery.go
@@ -75,7 +75,8 @@
 	f.applyOperatorRows(k.Operator)
 	if len(f.Servers().List) == 0 {
 		var d directory
-		f.updateServers(&d, k.Servers, Uptime())
+		d.apply(Update{Rows: k.Servers, Complete: true})
+		f.updateServers(&d, Uptime())
 	}
 	if len(f.Members().List) == 0 {
 		f.members.Store(&Members{List: k.Members})
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,18 +13,18 @@
 )
 
 const (
-	// serverReadInterval is the minimum time between two reads of the servers'
-	// rows, and serverReadPerServer is added to it for each server, so that the
-	// cost of reading hardly depends on the number of servers.
-	serverReadInterval  = 300 * time.Millisecond
-	serverReadPerServer = 5 * time.Millisecond
+	// serverReadInterval is the time between two reads of changes of the servers'
+	// rows. Changes that come in the meantime are read together.
+	serverReadInterval = 200 * time.Millisecond
 	// expiredRowGrace is how long servers whose rows are missing are kept after an
 	// outage of the store: rows that expired during the outage are written again
 	// within this time.
 	expiredRowGrace = 2200 * time.Millisecond
-	// outageThreshold is the time without a successful read after which rows may
-	// have expired.
-	outageThreshold = 1200 * time.Millisecond
+	// minWait is the shortest time that a read waits for changes.
+	minWait = 10 * time.Millisecond
+	// outageThreshold is the time without an answer of the store after which rows
+	// may have expired. It is longer than a read that waits for changes.
+	outageThreshold = feedWait + 700*time.Millisecond
 )
 
 // Servers is an immutable list of the servers that may be used.
@@ -45,38 +47,34 @@
 	return f.servers.Load()
 }
 
-// ServeServers reads the servers until the context ends.
+// ServeServers follows the servers' rows until the context ends.
 func (f *State) ServeServers(ctx context.Context) error {
 	var d directory
-	for ctx.Err() == nil {
-		f.readServers(ctx, &d)
-		Sleep(ctx, max(serverReadInterval, time.Duration(len(f.Servers().List))*serverReadPerServer))
-	}
+	Follow(ctx, f, Subscription{
+		Table: f.codec.ServerTable, Interval: serverReadInterval, Read: f.readServers,
+		Wait: func() time.Duration { return d.wait(Uptime()) },
+		Apply: func(u Update) {
+			d.apply(u)
+			f.updateServers(&d, Uptime())
+		},
+	})
 	return nil
 }
 
-func (f *State) readServers(ctx context.Context, d *directory) {
-	sentAt := Uptime()
-	c, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	s, err := store.ReadAll(c, f.store, store.Range{Table: f.codec.ServerTable})
-	if err != nil {
-		f.recordFailure(f.codec.ServerTable, err)
-		return
-	}
-	f.recordResponse(s, sentAt)
-	f.updateServers(d, s.Rows, sentAt)
+// readServers reads all rows of the servers' table.
+func (f *State) readServers(ctx context.Context) (store.Snapshot, error) {
+	return store.ReadAll(ctx, f.store, store.Range{Table: f.codec.ServerTable})
 }
 
-// updateServers applies all rows of the server table, as returned by a call sent
-// at uptime sentAt.
-func (f *State) updateServers(d *directory, rows []store.Row, sentAt time.Duration) {
-	f.mutex.Lock()
-	f.serverRows = rows
-	f.mutex.Unlock()
+// updateServers publishes the servers of a directory, whose rows are as of uptime
+// at.
+func (f *State) updateServers(d *directory, at time.Duration) {
+	if !d.needsUpdate(at) {
+		return
+	}
 	now := time.Now()
 	var read []backend.Server
-	for _, r := range rows {
+	for _, r := range d.rows {
 		if v, ok := d.unchanged(r); ok {
 			read = append(read, v)
 			continue
@@ -91,18 +89,26 @@
 		d.recordDecoded(r, v)
 		read = append(read, v)
 	}
-	for _, change := range d.update(read, sentAt) {
+	for _, change := range d.update(read, at) {
 		f.log.Info("server "+change.event, zap.String("Server", change.server.ID), zap.String("Service", change.server.Service))
 	}
+	rows := slices.Collect(maps.Values(d.rows))
+	f.mutex.Lock()
+	f.serverRows = rows
+	f.mutex.Unlock()
 	f.servers.Store(d.snapshot())
 	f.pruneWeights()
 }
 
-// directory decides which servers may be used, from successive reads of their
-// rows. The zero value has no servers.
+// directory decides which servers may be used, from their rows and the changes of
+// these. The zero value has no servers.
 type directory struct {
+	// rows are the rows in the store, by name, and changed is whether the servers
+	// are not up to date with them.
+	rows    map[string]store.Row
+	changed bool
 	servers map[string]backend.Server
-	// readAt is the uptime of the last read.
+	// readAt is the uptime of the last answer of the store.
 	readAt time.Duration
 	// graceUntil is the uptime until which missing servers are kept.
 	graceUntil time.Duration
@@ -112,6 +118,43 @@
 	versions map[string]int64
 }
 
+// apply applies rows that the store returned.
+func (d *directory) apply(u Update) {
+	if u.Complete || d.rows == nil {
+		d.rows = make(map[string]store.Row, len(u.Rows))
+		d.changed = true
+	}
+	for _, r := range u.Rows {
+		d.changed = true
+		if r.Removed {
+			delete(d.rows, r.Key.Name)
+			continue
+		}
+		d.rows[r.Key.Name] = r
+	}
+}
+
+// needsUpdate records an answer of the store at an uptime, and reports whether the
+// servers may have changed since the last one.
+func (d *directory) needsUpdate(at time.Duration) bool {
+	if d.readAt > 0 && at-d.readAt > outageThreshold {
+		d.graceUntil = at + expiredRowGrace
+	}
+	d.readAt = at
+	needed := d.changed || d.graceUntil > 0
+	d.changed = false
+	return needed
+}
+
+// wait returns how long the next read may wait for a change: no longer than until
+// servers whose rows are missing must be dropped.
+func (d *directory) wait(at time.Duration) time.Duration {
+	if d.graceUntil == 0 {
+		return feedWait
+	}
+	return min(feedWait, max(minWait, d.graceUntil-at))
+}
+
 // unchanged returns the server of a row if this version of the row was decoded
 // before.
 func (d *directory) unchanged(r store.Row) (backend.Server, bool) {
@@ -133,13 +176,11 @@
 	server backend.Server
 }
 
-// update applies all servers of a read sent at uptime sentAt, and returns what
-// changed.
-func (d *directory) update(read []backend.Server, sentAt time.Duration) []change {
-	if d.readAt > 0 && sentAt-d.readAt > outageThreshold {
-		d.graceUntil = sentAt + expiredRowGrace
+// update applies all servers that have rows at an uptime, and returns what changed.
+func (d *directory) update(read []backend.Server, at time.Duration) []change {
+	if at >= d.graceUntil {
+		d.graceUntil = 0
 	}
-	d.readAt = sentAt
 	old := d.servers
 	d.servers = make(map[string]backend.Server, len(read))
 	var changes []change
@@ -157,7 +198,7 @@
 		if _, ok := d.servers[id]; ok {
 			continue
 		}
-		if sentAt < d.graceUntil {
+		if d.graceUntil > 0 {
 			d.servers[id] = s
 			continue
 		}
