Add up the heartbeats' reports once for each member list

Cause: to find the pace of each server, every check for items to start or move went through all daemons' reports: servers times daemons, twenty times a second. The order of servers to reserve hashed both IDs at each comparison.

Change: the reports are added up when the member list changes; IDs are hashed once.

What stays grows with the number of servers.

--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -14,6 +14,7 @@
 package schedule
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -145,29 +146,36 @@
 // reserve selects the servers reserved for long items. All daemons that have the
 // same list of servers select the same ones.
 func reserve(servers []Server, fastest time.Duration) {
-	order := make([]int, 0, len(servers))
+	order := make([]candidate, 0, len(servers))
 	for i, s := range servers {
 		servers[i].reserved = false
 		if !s.Slow(fastest) && s.Loading == "" {
-			order = append(order, i)
+			order = append(order, candidate{index: i, near: s.nearFastest(fastest), hash: xxhash.Sum64String(s.ID)})
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		if x, y := servers[a].nearFastest(fastest), servers[b].nearFastest(fastest); x != y {
-			if x {
-				return -1
-			}
-			return 1
-		}
-		x, y := xxhash.Sum64String(servers[a].ID), xxhash.Sum64String(servers[b].ID)
-		if x < y {
+	slices.SortFunc(order, candidate.compare)
+	for _, c := range order[:int(longShare*float64(len(order)))] {
+		servers[c.index].reserved = true
+	}
+}
+
+// candidate is a server that may be reserved.
+type candidate struct {
+	index int
+	// near is whether the server is about as fast as the fastest.
+	near bool
+	hash uint64
+}
+
+// compare orders the candidates by the preference for reserving them.
+func (c candidate) compare(o candidate) int {
+	if c.near != o.near {
+		if c.near {
 			return -1
 		}
 		return 1
-	})
-	for _, i := range order[:int(longShare*float64(len(order)))] {
-		servers[i].reserved = true
 	}
+	return cmp.Compare(c.hash, o.hash)
 }
 
 // FastestPace returns the time per token of the fastest server, DefaultPace if
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -56,6 +56,8 @@
 	paces   paces
 	// lastOwners is the latest result of owners.
 	lastOwners owners
+	// lastReports is the latest result of memberReports.
+	lastReports memberReports
 	// serverLoad is the number of items that all daemons run on each server.
 	serverLoad map[string]int
 	// pageCount is the number of pages that this daemon has named.
--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -28,17 +28,12 @@
 // updates r.serverLoad. It omits servers that are draining, run no weights or are
 // in backoff. It is called with the mutex held.
 func (r *Runner) servers() []schedule.Server {
-	members, runners := r.fleet.Members().Active(), r.owners().runners.List
+	reports, runners := r.memberReports(), r.owners().runners.List
 	rank := slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self })
 	used := r.running()
-	load := maps.Clone(used)
-	for _, m := range members {
-		if m.ID == r.self {
-			continue
-		}
-		for id, n := range m.Running {
-			load[id] += n
-		}
+	load := maps.Clone(reports.running)
+	for id, n := range used {
+		load[id] += n
 	}
 	r.serverLoad = load
 	now := time.Now()
@@ -50,7 +45,7 @@
 		}
 		quota, spare := r.slotsOn(s, load[s.ID], rank, len(runners), turn)
 		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Spare: spare - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, members),
+			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Spare: spare - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, reports),
 			Version: func(model string) int { return r.fleet.Loaded(s, model) },
 			Loading: r.fleet.Loading(s, now),
 		})
@@ -132,14 +127,45 @@
 	return r.paces.recent()
 }
 
+// memberReports is what the heartbeats of one member list say about servers.
+type memberReports struct {
+	members *fleet.Members
+	// running is the number of items that other daemons run on each server.
+	running map[string]int
+	// paces holds the longest time between two events that a daemon reports of each
+	// server.
+	paces map[string]time.Duration
+}
+
+// memberReports returns what the latest heartbeats say about servers. It is called
+// with the mutex held.
+func (r *Runner) memberReports() memberReports {
+	m := r.fleet.Members()
+	if r.lastReports.members == m {
+		return r.lastReports
+	}
+	reports := memberReports{members: m, running: make(map[string]int), paces: make(map[string]time.Duration)}
+	for _, o := range m.Active() {
+		for id, pace := range o.Paces {
+			reports.paces[id] = max(reports.paces[id], pace)
+		}
+		if o.ID == r.self {
+			continue
+		}
+		for id, n := range o.Running {
+			reports.running[id] += n
+		}
+	}
+	r.lastReports = reports
+	return reports
+}
+
 // pace returns the time per token on a server, as measured by this daemon, or else
 // the longest that another daemon reports; 0 if unknown.
-func (r *Runner) pace(id string, members []fleet.Member) time.Duration {
+func (r *Runner) pace(id string, reports memberReports) time.Duration {
 	event := r.paces.intervals[id]
 	if event == 0 {
-		for _, m := range members {
-			event = max(event, m.Paces[id])
-		}
+		event = reports.paces[id]
 	}
 	return event / time.Duration(r.tokensPerEvent())
 }
