Keep the duty's messages and heartbeat from growing with the servers

Cause: the daemon that orders weights sent one message to every daemon that runs items for each load that ended: at 1,000 servers some 500 loads times 28 daemons for a version. Its heartbeat listed the loaded versions of all servers, some 40 bytes each; with 3,002 servers that is over the 64 KiB of a row, so the store would refuse it and the others would take the daemon for dead. And each check of who owns an item went through the list of daemons.

Change: ends of loads that come within 10 ms are announced together; the heartbeat lists only versions that the servers' rows do not show; Members.Has uses an index.

Before, by arithmetic as above; after: TestEndedLoadsAreAnnouncedTogether (1,000 loads, one message to each peer), TestHeartbeatListsOnlyLoadsThatRowsDoNotShow.

--- a/internal/front/batch/size_test.go
+++ b/internal/front/batch/size_test.go
@@ -44,7 +44,9 @@
 	ctx, cancel := context.WithCancel(b.Context())
 	b.Cleanup(cancel)
 	go func() { _ = f.ServeServers(ctx) }()
-	go func() { _ = f.ServeMembers(ctx, func() fleet.Member { return fleet.Member{ID: "self", Machine: "self", Share: 0.6} }) }()
+	go func() {
+		_ = f.ServeMembers(ctx, func() fleet.Member { return fleet.Member{ID: "self", Machine: "self", Share: 0.6} })
+	}()
 	for len(f.Servers().List) < servers || len(f.Members().List) < daemons {
 		fleet.Sleep(ctx, time.Millisecond)
 	}
--- a/internal/front/duty/loads.go
+++ b/internal/front/duty/loads.go
@@ -122,7 +122,7 @@
 func (w *Weights) finish(ctx context.Context, s backend.Server, l *load) {
 	if w.loads[s.ID] == l {
 		delete(w.loads, s.ID)
-		go w.announce(ctx, []fleet.Load{l.atStage(s, fleet.LoadEnded)})
+		w.announceEnd(ctx, l.atStage(s, fleet.LoadEnded))
 	}
 	id := s.Incarnation()
 	if w.loaded[id] == nil {
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -25,6 +25,9 @@
 	// notifyTimeout bounds the notification of other daemons before a load is
 	// ordered.
 	notifyTimeout = 30 * time.Millisecond
+	// announceDelay is how long finished loads are collected, so that the number of
+	// messages does not grow with that of servers.
+	announceDelay = 10 * time.Millisecond
 )
 
 // Weights orders servers to load the versions of weights that the operators set.
@@ -44,8 +47,10 @@
 	// loads holds the orders that are, or may be, in progress, by server.
 	loads map[string]*load
 	// loaded holds the versions whose loads have finished, by server incarnation
-	// and model.
+	// and model, until the servers' rows show them.
 	loaded map[string]map[string]int
+	// ends are finished loads that will be announced together.
+	ends []fleet.Load
 }
 
 // order is a load to be ordered from a server.
@@ -65,8 +70,8 @@
 	}
 }
 
-// Loaded returns the versions whose loads have finished, by incarnation of the
-// current servers and model.
+// Loaded returns the versions whose loads have finished and that the servers' rows do
+// not show yet, by incarnation of the current servers and model.
 func (w *Weights) Loaded() map[string]map[string]int {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -159,14 +164,40 @@
 	w.notify(ctx, loads)
 }
 
-// pruneLoaded drops the loaded versions of servers that no longer exist. It is called with the mutex
-// held.
+// pruneLoaded drops the loaded versions that the servers' rows show, and those of
+// servers that no longer exist: all others are part of each heartbeat. It is called
+// with the mutex held.
 func (w *Weights) pruneLoaded() {
-	known := make(map[string]bool)
+	if len(w.loaded) == 0 {
+		return
+	}
+	shown := make(map[string]map[string]int)
 	for _, s := range w.fleet.Servers().List {
-		known[s.Incarnation()] = true
+		shown[s.Incarnation()] = s.Weights
+	}
+	maps.DeleteFunc(w.loaded, func(incarnation string, models map[string]int) bool {
+		row, known := shown[incarnation]
+		maps.DeleteFunc(models, func(model string, v int) bool { return row[model] >= v })
+		return !known || len(models) == 0
+	})
+}
+
+// announceEnd announces a finished load together with those that finish within
+// announceDelay. It is called with the mutex held.
+func (w *Weights) announceEnd(ctx context.Context, l fleet.Load) {
+	w.fleet.RecordLoad(l)
+	w.ends = append(w.ends, l)
+	if len(w.ends) > 1 {
+		return
 	}
-	maps.DeleteFunc(w.loaded, func(incarnation string, _ map[string]int) bool { return !known[incarnation] })
+	go func() {
+		fleet.Sleep(ctx, announceDelay)
+		w.mutex.Lock()
+		ends := w.ends
+		w.ends = nil
+		w.mutex.Unlock()
+		w.announce(ctx, ends)
+	}()
 }
 
 // models returns the models of a service for which the operators have set a
--- a/internal/front/duty/weights_test.go
+++ b/internal/front/duty/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -109,3 +110,62 @@
 		must.Less(t, 2*loadTime, l.orderedAt[0].Sub(start))
 	})
 }
+
+// TestEndedLoadsAreAnnouncedTogether ends the loads of many servers at once: the
+// number of messages to peers must not grow with them.
+func TestEndedLoadsAreAnnouncedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var announced [][]fleet.Load
+		notify := func(_ context.Context, loads []fleet.Load) { announced = append(announced, loads) }
+		w := NewWeights(newState(t), nil, alwaysHeld{}, func(string) float64 { return 1 }, notify, "self", zap.NewNop())
+		w.mutex.Lock()
+		for n := range 1000 {
+			s := backend.Server{ID: strconv.Itoa(n)}
+			l := &load{model: "m", version: 2}
+			w.loads[s.ID] = l
+			w.finish(t.Context(), s, l)
+			must.Eq(t, 2, w.fleet.Loaded(s, "m"))
+		}
+		w.mutex.Unlock()
+		time.Sleep(announceDelay)
+		synctest.Wait()
+		must.Len(t, 1, announced)
+		must.Len(t, 1000, announced[0])
+	})
+}
+
+// TestHeartbeatListsOnlyLoadsThatRowsDoNotShow keeps the heartbeat small: the row of
+// a daemon must not grow with the number of servers.
+func TestHeartbeatListsOnlyLoadsThatRowsDoNotShow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &store.Memory{}
+		version := 1
+		f := fleet.New(m, fleet.Codec{ServerTable: "servers", Server: func(id string, _ []byte, _ time.Time) (backend.Server, error) {
+			return backend.Server{ID: id, Weights: map[string]int{"m": version}}, nil
+		}}, zap.NewNop())
+		writeRow := func() {
+			_, err := m.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: "servers", Name: "a"}}}})
+			must.NoError(t, err)
+		}
+		writeRow()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- f.ServeServers(ctx) }()
+		synctest.Wait()
+		w := NewWeights(f, nil, alwaysHeld{}, nil, func(context.Context, []fleet.Load) {}, "self", zap.NewNop())
+		w.mutex.Lock()
+		w.finish(ctx, backend.Server{ID: "a"}, &load{model: "m", version: 2})
+		w.pruneLoaded()
+		w.mutex.Unlock()
+		must.MapLen(t, 1, w.Loaded())
+		version = 2
+		writeRow()
+		time.Sleep(time.Second)
+		w.mutex.Lock()
+		w.pruneLoaded()
+		w.mutex.Unlock()
+		must.MapEmpty(t, w.Loaded())
+		cancel()
+		must.NoError(t, <-done)
+	})
+}
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,11 +56,22 @@
 // IDs.
 type Members struct {
 	List []Member
+
+	// active holds the IDs of the daemons that are not shutting down. It is built by
+	// the first call of Has.
+	active     map[string]bool
+	buildIndex sync.Once
 }
 
 // Has reports whether a daemon is alive and not shutting down.
 func (m *Members) Has(id string) bool {
-	return slices.ContainsFunc(m.List, func(o Member) bool { return o.ID == id && !o.Leaving })
+	m.buildIndex.Do(func() {
+		m.active = make(map[string]bool, len(m.List))
+		for _, o := range m.List {
+			m.active[o.ID] = m.active[o.ID] || !o.Leaving
+		}
+	})
+	return m.active[id]
 }
 
 // Pick returns the ID of the daemon that is responsible for some work, by
