Look at all servers less often the more there are

Cause: every check for items to start or move described all servers to the scheduler, although a daemon has slots on only some of them: 6.5 ms twenty times a second with 3,000 servers, more than half of the smaller VMs' processor.

Change: schedule.Survey holds what a placement depends on of all servers (the fastest pace, those reserved for long items); it is made every 0.5 ms times their number. Each check describes only the servers on which the daemon has slots or items.

Up to 100 servers nothing changes but the cost.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -31,12 +31,18 @@
 	Started bool
 }
 
+// Move is Survey.Move, given that there are no other servers.
+func Move(now time.Time, running []Running, servers []Server) []Running {
+	return NewSurvey(servers).Move(now, running, servers)
+}
+
 // Move returns the running items that are to be stopped and resumed on another
 // server: those whose server leaves or has stopped responding, and those that a
 // faster server would finish sooner. An item stays where it is while no other
-// server has a free slot. Move updates Free of the servers.
-func Move(now time.Time, running []Running, servers []Server) []Running {
-	fastest := FastestPace(servers)
+// server has a free slot. Move updates Free of the servers, which may be a part of
+// those surveyed but must contain those of the running items.
+func (v Survey) Move(now time.Time, running []Running, servers []Server) []Running {
+	fastest := v.fastest
 	var out []Running
 	for _, r := range running {
 		i := pick(Item{Service: r.Item.Service, Model: r.Item.Model, MinVersion: r.Item.MinVersion, Avoid: r.Server}, servers, fastest, access{reserved: true})
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -14,11 +14,8 @@
 package schedule
 
 import (
-	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -119,9 +116,15 @@
 	return now.Sub(i.ReadyAt) > urgentWait || i.Slack(now) < urgentSlack
 }
 
-// Place assigns waiting items to servers on which they start now. It updates
-// Free, Spare and Load of the servers.
+// Place assigns waiting items to servers on which they start now, given that there
+// are no other servers. It updates Free, Spare and Load of the servers.
 func Place(now time.Time, waiting []Item, servers []Server) []Placement {
+	return NewSurvey(servers).Place(now, waiting, servers)
+}
+
+// Place assigns waiting items to servers on which they start now. It updates Free,
+// Spare and Load of the servers, which may be a part of those surveyed.
+func (v Survey) Place(now time.Time, waiting []Item, servers []Server) []Placement {
 	ready := make([]Item, 0, len(waiting))
 	for _, it := range waiting {
 		if !now.Before(it.NotBefore) {
@@ -129,11 +132,12 @@
 		}
 	}
 	slices.SortStableFunc(ready, func(a, b Item) int { return int(a.Slack(now)/time.Millisecond - b.Slack(now)/time.Millisecond) })
-	fastest := FastestPace(servers)
-	reserve(servers, fastest)
+	for i := range servers {
+		servers[i].reserved = v.reserved.Contains(servers[i].ID)
+	}
 	var out []Placement
 	for _, it := range ready {
-		i := pick(it, servers, fastest, it.access(now))
+		i := pick(it, servers, v.fastest, it.access(now))
 		if i < 0 {
 			continue
 		}
@@ -143,41 +147,6 @@
 	return out
 }
 
-// reserve selects the servers reserved for long items. All daemons that have the
-// same list of servers select the same ones.
-func reserve(servers []Server, fastest time.Duration) {
-	order := make([]candidate, 0, len(servers))
-	for i, s := range servers {
-		servers[i].reserved = false
-		if !s.Slow(fastest) && s.Loading == "" {
-			order = append(order, candidate{index: i, near: s.nearFastest(fastest), hash: xxhash.Sum64String(s.ID)})
-		}
-	}
-	slices.SortFunc(order, candidate.compare)
-	for _, c := range order[:int(longShare*float64(len(order)))] {
-		servers[c.index].reserved = true
-	}
-}
-
-// candidate is a server that may be reserved.
-type candidate struct {
-	index int
-	// near is whether the server is about as fast as the fastest.
-	near bool
-	hash uint64
-}
-
-// compare orders the candidates by the preference for reserving them.
-func (c candidate) compare(o candidate) int {
-	if c.near != o.near {
-		if c.near {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Compare(c.hash, o.hash)
-}
-
 // FastestPace returns the time per token of the fastest server, DefaultPace if
 // no server has measurements.
 func FastestPace(servers []Server) time.Duration {
--- a/internal/front/batch/pace.go
+++ b/internal/front/batch/pace.go
@@ -101,6 +101,6 @@
 	p.backoffUntil[id] = time.Now().Add(d)
 }
 
-func (p *paces) inBackoff(id string) bool {
-	return time.Now().Before(p.backoffUntil[id])
+func (p *paces) inBackoff(id string, at time.Time) bool {
+	return at.Before(p.backoffUntil[id])
 }
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -86,7 +86,7 @@
 
 // moveItems stops the running items that should be resumed on another server. An
 // unresponsive server gets no items for unresponsiveBackoff.
-func (r *Runner) moveItems(now time.Time, servers []schedule.Server) {
+func (r *Runner) moveItems(now time.Time, survey schedule.Survey, servers []schedule.Server) {
 	var running []schedule.Running
 	byID := make(map[string]*item)
 	for _, j := range r.jobs {
@@ -102,7 +102,7 @@
 			})
 		}
 	}
-	for _, m := range schedule.Move(now, running, servers) {
+	for _, m := range survey.Move(now, running, servers) {
 		i := byID[m.Item.ID]
 		i.avoid, i.moving = m.Server, true
 		i.stop()
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
-	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -56,6 +55,8 @@
 	paces   paces
 	// lastOwners is the latest result of owners.
 	lastOwners owners
+	// surveyed is the latest survey of all servers.
+	surveyed surveyedServers
 	// lastReports is the latest result of memberReports.
 	lastReports memberReports
 	// serverLoad is the number of items that all daemons run on each server.
@@ -151,9 +152,9 @@
 	r.removeStale(now)
 	r.abandonExpired()
 	if !r.leaving && r.hasOpenItems() {
-		servers := r.servers()
-		r.moveItems(now, servers)
-		for _, p := range schedule.Place(now, r.waiting(), servers) {
+		survey, servers := r.servers()
+		r.moveItems(now, survey, servers)
+		for _, p := range survey.Place(now, r.waiting(), servers) {
 			r.start(ctx, p)
 		}
 		r.sendRewards(ctx, now)
--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -19,58 +20,113 @@
 	// minRunners is the minimum number of daemons that run items, so that the
 	// loss of one moves only few items.
 	minRunners = 8
+	// surveyPerServer times the number of servers is the time between two looks at
+	// all of them: their cost in processor time does not grow with their number.
+	surveyPerServer = 500 * time.Microsecond
 	// spareTurnDuration is how long the same daemons may use spare slots of
 	// others: long enough for heartbeats to report that use.
 	spareTurnDuration = 1500 * time.Millisecond
 )
 
-// servers returns the servers with the slots that this daemon may use on each, and
-// updates r.serverLoad. It omits servers that are draining, run no weights or are
-// in backoff. It is called with the mutex held.
-func (r *Runner) servers() []schedule.Server {
-	reports, runners := r.memberReports(), r.owners().runners.List
-	rank := slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self })
-	used := r.running()
-	load := maps.Clone(reports.running)
-	for id, n := range used {
-		load[id] += n
-	}
-	r.serverLoad = load
-	now := time.Now()
-	turn := r.turn()
+// surveyedServers are the servers as of the last survey.
+type surveyedServers struct {
+	at     time.Time
+	survey schedule.Survey
+	// usable contains the IDs of the servers on which this daemon had slots.
+	usable set.Set[string]
+}
+
+// slotView is what the slots of this daemon depend on at one time.
+type slotView struct {
+	at      time.Time
+	reports memberReports
+	// used is the number of items that this daemon runs on each server.
+	used          map[string]int
+	rank, runners int
+	turn          int
+}
+
+// servers returns the survey of all servers, and those that concern this daemon,
+// with the slots that it may use on each. It updates r.serverLoad. It omits servers
+// that are draining, run no weights or are in backoff. With many servers, it looks
+// at all of them less often. It is called with the mutex held.
+func (r *Runner) servers() (schedule.Survey, []schedule.Server) {
+	runners := r.owners().runners.List
+	v := slotView{
+		at: time.Now(), reports: r.memberReports(), used: r.running(), runners: len(runners), turn: r.turn(),
+		rank: slices.IndexFunc(runners, func(m fleet.Member) bool { return m.ID == r.self }),
+	}
+	r.serverLoad = maps.Clone(v.reports.running)
+	for id, n := range v.used {
+		r.serverLoad[id] += n
+	}
+	all := r.fleet.Servers().List
+	if v.at.Sub(r.surveyed.at) >= time.Duration(len(all))*surveyPerServer {
+		r.survey(v, all)
+	}
 	var out []schedule.Server
-	for _, s := range r.fleet.Servers().List {
-		if s.Draining || len(s.Weights) == 0 || r.paces.inBackoff(s.ID) {
+	for _, s := range all {
+		if !r.surveyed.usable.Contains(s.ID) && v.used[s.ID] == 0 {
 			continue
 		}
-		quota, spare := r.slotsOn(s, load[s.ID], rank, len(runners), turn)
-		out = append(out, schedule.Server{
-			ID: s.ID, Service: s.Service, Free: quota - used[s.ID], Spare: spare - used[s.ID], Load: load[s.ID], Pace: r.pace(s.ID, reports),
-			Version: func(model string) int { return r.fleet.Loaded(s, model) },
-			Loading: r.fleet.Loading(s, now),
-		})
+		if d, ok := r.describe(v, s); ok {
+			out = append(out, d)
+		}
 	}
-	return out
+	return r.surveyed.survey, out
+}
+
+// survey looks at all servers. It is called with the mutex held.
+func (r *Runner) survey(v slotView, all []backend.Server) {
+	r.surveyed = surveyedServers{at: v.at}
+	described := make([]schedule.Server, 0, len(all))
+	for _, s := range all {
+		if len(s.Weights) == 0 {
+			continue
+		}
+		if quota, spare := r.slotsOn(s, r.serverLoad[s.ID], v); quota > 0 || spare > 0 {
+			r.surveyed.usable.Add(s.ID)
+		}
+		if d, ok := r.describe(v, s); ok {
+			described = append(described, d)
+		}
+	}
+	r.surveyed.survey = schedule.NewSurvey(described)
+}
+
+// describe describes a server to the scheduler. It returns false for a server that
+// gets no items.
+func (r *Runner) describe(v slotView, s backend.Server) (schedule.Server, bool) {
+	if s.Draining || len(s.Weights) == 0 || r.paces.inBackoff(s.ID, v.at) {
+		return schedule.Server{}, false
+	}
+	load := r.serverLoad[s.ID]
+	quota, spare := r.slotsOn(s, load, v)
+	return schedule.Server{
+		ID: s.ID, Service: s.Service, Free: quota - v.used[s.ID], Spare: spare - v.used[s.ID], Load: load, Pace: r.pace(s.ID, v.reports),
+		Version: func(model string) int { return r.fleet.Loaded(s, model) },
+		Loading: r.fleet.Loading(s, v.at),
+	}, true
 }
 
 // slotsOn returns how many items this daemon may run on a server, and how many
 // spare slots it may use for items that have waited long. A daemon that still
 // holds items but is no longer among the runners has spare slots only.
-func (r *Runner) slotsOn(s backend.Server, load, rank, runners, turn int) (quota, spare int) {
-	if rank >= 0 {
-		quota = schedule.Quota(s.Slots, rank, runners, rotation(s.ID))
+func (r *Runner) slotsOn(s backend.Server, load int, v slotView) (quota, spare int) {
+	if v.rank >= 0 {
+		quota = schedule.Quota(s.Slots, v.rank, v.runners, rotation(s.ID))
 	}
 	if quota > 0 {
 		return quota, 0
 	}
-	index := rank
-	if rank < 0 {
+	index := v.rank
+	if v.rank < 0 {
 		index = rotation(r.self)
 	}
 	switch {
-	case !schedule.MayUseSpare(s.Slots, load, index, runners, rotation(s.ID), turn):
+	case !schedule.MayUseSpare(s.Slots, load, index, v.runners, rotation(s.ID), v.turn):
 		return 0, 0
-	case rank < 0:
+	case v.rank < 0:
 		return 1, 0
 	}
 	return 0, 1
