Spread counts and checkpoints over what one part of the store accepts

Cause: the store accepts 200 writes a second for a part. Heartbeats (125 a second in a large fleet, by their interval), the duty's lease and the usage counts of all daemons (one in 0.6 s each) share the part without a name: by arithmetic 291 a second with 100 daemons, 625 with 300. Refused heartbeats make daemons take each other for dead. Checkpoints of one job share its part with the results: 2 a second for each daemon that runs its items, 332 with 166 of them.

Change: counts go to eight parts of their own (the duty reads all parts, also that of older builds); the interval of checkpoints grows with the daemons that run items above 50 of them. Below, nothing changes.

Proof: TestCountsAreSpreadOverParts, TestCheckpointsLeaveRoomForResults. Mixed builds: a duty held by the older build misses the counts of newer daemons.

--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -20,8 +20,12 @@
 	stepInterval = 50 * time.Millisecond
 	// listDelay is how long results are collected before they are written.
 	listDelay = 60 * time.Millisecond
-	// checkpointInterval is the time between two checkpoints.
-	checkpointInterval = 500 * time.Millisecond
+	// minCheckpointInterval is the minimum time between two checkpoints.
+	minCheckpointInterval = 500 * time.Millisecond
+	// checkpointPerRunner is added up over the daemons that run items: all of them
+	// write to the part of the same job, whose writes the store limits to 200 a
+	// second, and results must find room beside the checkpoints.
+	checkpointPerRunner = 10 * time.Millisecond
 	// writeTimeout limits one write of results or checkpoints.
 	writeTimeout = 900 * time.Millisecond
 	// ownerInterval is the time between two checks for items whose daemon died.
@@ -101,7 +105,7 @@
 			r.loadOwned(ctx)
 		}
 		r.step(ctx, now)
-		if now.Sub(checkpointsAt) >= checkpointInterval {
+		if now.Sub(checkpointsAt) >= checkpointInterval(len(r.runners())) {
 			checkpointsAt = now
 			r.writeAllCheckpoints(ctx)
 		}
@@ -137,6 +141,11 @@
 	}
 }
 
+// checkpointInterval returns the time between two checkpoints of one daemon.
+func checkpointInterval(runners int) time.Duration {
+	return max(minCheckpointInterval, time.Duration(runners)*checkpointPerRunner)
+}
+
 // trigger wakes the loop of Serve.
 func (r *Runner) trigger() {
 	select {
--- a/internal/front/batch/size_test.go
+++ b/internal/front/batch/size_test.go
@@ -72,3 +72,14 @@
 		})
 	}
 }
+
+// TestCheckpointsLeaveRoomForResults adds up the writes of all daemons that run items
+// of one job: half of what the store accepts for a part is left for results.
+func TestCheckpointsLeaveRoomForResults(t *testing.T) {
+	const partWritesPerSecond = 200
+	must.Eq(t, minCheckpointInterval, checkpointInterval(8))
+	for _, runners := range []int{1, 28, 166, 500} {
+		rate := float64(runners) / checkpointInterval(runners).Seconds()
+		must.LessEq(t, partWritesPerSecond/2, rate)
+	}
+}
--- a/internal/front/duty/usage.go
+++ b/internal/front/duty/usage.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
@@ -16,6 +18,10 @@
 
 const (
 	usageTable = "usage"
+	// usageParts is the number of parts over which the daemons' counts are spread:
+	// the store limits the writes to one part, and heartbeats and the duty's lease
+	// share the part without a name.
+	usageParts = 8
 	// sealTable holds the total counts of each window, written once. Only these
 	// are reported.
 	sealTable = "sealed"
@@ -88,7 +94,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, usageTimeout)
 	defer cancel()
-	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Row{{Key: store.Key{Table: usageTable, Name: m.self}, Value: b}}})
+	_, err = m.store.Commit(ctx, store.Txn{Puts: []store.Row{{Key: store.Key{Table: usageTable, Part: usagePart(m.self), Name: m.self}, Value: b}}})
 	if err != nil {
 		m.log.Info("writing usage counts failed; retrying", zap.Error(err))
 		m.mutex.Lock()
@@ -223,12 +229,12 @@
 
 // sum returns the total counts of all daemons for a window.
 func (u *Usage) sum(ctx context.Context, window int64) (Counts, error) {
-	s, err := store.ReadAll(ctx, u.store, store.Range{Table: usageTable})
+	rows, err := u.counts(ctx)
 	if err != nil {
 		return nil, err
 	}
 	total := make(Counts)
-	for _, r := range s.Rows {
+	for _, r := range rows {
 		var windows map[int64]Counts
 		if err := msgpack.Unmarshal(r.Value, &windows); err != nil {
 			return nil, errors.Wrapf(err, "duty: counts of %s", r.Key.Name)
@@ -240,6 +246,36 @@
 	return total, nil
 }
 
+// counts reads the counts of all daemons, from all parts that have some. Older builds
+// write to a part without a name.
+func (u *Usage) counts(ctx context.Context) ([]store.Row, error) {
+	parts, err := u.store.Parts(ctx, usageTable)
+	if err != nil {
+		return nil, err
+	}
+	snapshots := make([]store.Snapshot, len(parts))
+	g, c := errgroup.WithContext(ctx)
+	for i, part := range parts {
+		g.Go(func() (err error) {
+			snapshots[i], err = store.ReadAll(c, u.store, store.Range{Table: usageTable, Part: part})
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	var rows []store.Row
+	for _, s := range snapshots {
+		rows = append(rows, s.Rows...)
+	}
+	return rows, nil
+}
+
+// usagePart returns the part to which a daemon writes its counts.
+func usagePart(self string) string {
+	return "usage-" + strconv.FormatUint(xxhash.Sum64String(self)%usageParts, 10)
+}
+
 func windowAt(t time.Time, length time.Duration) int64 {
 	return t.UnixNano() / int64(length)
 }
--- a/internal/front/duty/usage_test.go
+++ b/internal/front/duty/usage_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/storelease"
@@ -99,3 +101,34 @@
 	must.Eq(t, storelease.Acquire, action.Kind)
 	must.Greater(t, first, action.Row.Fence)
 }
+
+// TestCountsAreSpreadOverParts has many daemons write their counts, one of them as an
+// older build does. The store limits the writes to each part; all counts must be
+// added up.
+func TestCountsAreSpreadOverParts(t *testing.T) {
+	s := &store.Memory{}
+	f := fleet.New(s, fleet.Codec{}, zap.NewNop())
+	const daemons = 300
+	var window int64
+	for n := range daemons {
+		m := NewMeter(f, s, strconv.Itoa(n), time.Hour, zap.NewNop())
+		m.Count("w", 0)
+		window = windowAt(f.TimeOfDay(), time.Hour)
+		m.Flush(t.Context())
+	}
+	b, err := msgpack.Marshal(map[int64]Counts{window: {"w": 1}})
+	must.NoError(t, err)
+	_, err = s.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: usageTable, Name: "old"}, Value: b}}})
+	must.NoError(t, err)
+	total, err := newUsage(s, &reports{}, 1).sum(t.Context(), window)
+	must.NoError(t, err)
+	must.Eq(t, Counts{"w": daemons + 1}, total)
+	parts, err := s.Parts(t.Context(), usageTable)
+	must.NoError(t, err)
+	must.Len(t, usageParts+1, parts)
+	for _, p := range parts {
+		rows, err := store.ReadAll(t.Context(), s, store.Range{Table: usageTable, Part: p})
+		must.NoError(t, err)
+		must.Less(t, 2*daemons/usageParts, len(rows.Rows))
+	}
+}
