Identify reward calls by job and item, for servers of any service

Cause: trainers list items of an earlier step again, so an item can be in two open jobs; the daemon told its calls apart by the item alone, and could send one of them twice and the other late. And servers that run weights were left out, although a route may lead to any service.

Change: the job is part of the call's name; servers are those of the calls' services.

--- a/internal/control/reward/burst_test.go
+++ b/internal/control/reward/burst_test.go
@@ -74,7 +74,7 @@
 		group := n * 7 % burstGroups
 		id := fmt.Sprintf("%03d", n)
 		b.calls[id] = &burstCall{daemon: n % daemons, Call: reward.Call{
-			Item: id, Service: "r", DueAt: at.Add(5 * time.Second), Group: group, Objective: 400 * time.Millisecond,
+			ID: id, Service: "r", DueAt: at.Add(5 * time.Second), Group: group, Objective: 400 * time.Millisecond,
 		}}
 	}
 	return b
@@ -167,7 +167,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b reward.Call) int {
-		if a.Item < b.Item {
+		if a.ID < b.ID {
 			return -1
 		}
 		return 1
@@ -194,7 +194,7 @@
 		})
 	}
 	for _, p := range reward.Place(b.now, calls, list, reward.Share{Rank: daemon, Daemons: daemons}) {
-		b.send(p.Item, p.Server)
+		b.send(p.Call, p.Server)
 	}
 }
 
@@ -203,7 +203,7 @@
 func sendAll(b *burst, daemon int) {
 	for n, c := range b.waiting(daemon) {
 		if len(c.Servers) == 0 {
-			b.send(c.Item, b.servers[(n+daemon)%servers].id)
+			b.send(c.ID, b.servers[(n+daemon)%servers].id)
 		}
 	}
 }
--- a/internal/control/reward/reward.go
+++ b/internal/control/reward/reward.go
@@ -34,8 +34,8 @@
 
 // Call is a reward call that has no answer yet.
 type Call struct {
-	// Item is the ID of the item whose text the call scores.
-	Item    string
+	// ID identifies the call among those of this daemon.
+	ID      string
 	Service string
 	// DueAt is when the item's job is due, and Group the position of the item's
 	// group in the job. Trainers list the groups that they need first.
@@ -70,7 +70,8 @@
 
 // Placement assigns a call to a server.
 type Placement struct {
-	Item   string
+	// Call is the ID of the call.
+	Call   string
 	Server string
 }
 
@@ -101,7 +102,7 @@
 		free[c.Service]--
 		servers[i].Running++
 		servers[i].Cost += servers[i].CallCost
-		out = append(out, Placement{Item: c.Item, Server: servers[i].ID})
+		out = append(out, Placement{Call: c.ID, Server: servers[i].ID})
 	}
 	return out
 }
--- a/internal/control/reward/reward_test.go
+++ b/internal/control/reward/reward_test.go
@@ -25,42 +25,42 @@
 
 func TestEarlierJobsAndGroupsGoFirst(t *testing.T) {
 	calls := []reward.Call{
-		{Item: "late-job", Service: "r", DueAt: now.Add(8 * time.Second)},
-		{Item: "second-group", Service: "r", DueAt: now.Add(4 * time.Second), Group: 1},
-		{Item: "first-group", Service: "r", DueAt: now.Add(4 * time.Second)},
+		{ID: "late-job", Service: "r", DueAt: now.Add(8 * time.Second)},
+		{ID: "second-group", Service: "r", DueAt: now.Add(4 * time.Second), Group: 1},
+		{ID: "first-group", Service: "r", DueAt: now.Add(4 * time.Second)},
 	}
 	list := []reward.Server{{ID: "a", Service: "r", Slots: 2}}
 	got := reward.Place(now, calls, list, only)
-	must.Eq(t, []reward.Placement{{Item: "first-group", Server: "a"}}, got)
+	must.Eq(t, []reward.Placement{{Call: "first-group", Server: "a"}}, got)
 }
 
 func TestCallsAreSpreadOverServers(t *testing.T) {
-	calls := []reward.Call{{Item: "1", Service: "r"}, {Item: "2", Service: "r"}}
+	calls := []reward.Call{{ID: "1", Service: "r"}, {ID: "2", Service: "r"}}
 	got := reward.Place(now, calls, twoServers(), only)
-	must.Eq(t, []reward.Placement{{Item: "1", Server: "a"}, {Item: "2", Server: "b"}}, got)
+	must.Eq(t, []reward.Placement{{Call: "1", Server: "a"}, {Call: "2", Server: "b"}}, got)
 }
 
 func TestLateCallIsHedgedOnAnotherServer(t *testing.T) {
-	c := reward.Call{Item: "1", Service: "r", Objective: 400 * time.Millisecond, Servers: []string{"a"}, SentAt: now}
+	c := reward.Call{ID: "1", Service: "r", Objective: 400 * time.Millisecond, Servers: []string{"a"}, SentAt: now}
 	must.SliceEmpty(t, reward.Place(now.Add(199*time.Millisecond), []reward.Call{c}, twoServers(), only))
 	got := reward.Place(now.Add(200*time.Millisecond), []reward.Call{c}, twoServers(), only)
-	must.Eq(t, []reward.Placement{{Item: "1", Server: "b"}}, got)
+	must.Eq(t, []reward.Placement{{Call: "1", Server: "b"}}, got)
 }
 
 // TestWaitingCallsGoBeforeHedges keeps hedges from doubling the load of servers
 // that are slow because they are full.
 func TestWaitingCallsGoBeforeHedges(t *testing.T) {
 	calls := []reward.Call{
-		{Item: "late", Service: "r", Servers: []string{"a"}, SentAt: now.Add(-time.Second)},
-		{Item: "waiting", Service: "r", DueAt: now.Add(time.Minute)},
+		{ID: "late", Service: "r", Servers: []string{"a"}, SentAt: now.Add(-time.Second)},
+		{ID: "waiting", Service: "r", DueAt: now.Add(time.Minute)},
 	}
 	list := []reward.Server{{ID: "a", Service: "r", Slots: 1}, {ID: "b", Service: "r", Slots: 1}}
 	got := reward.Place(now, calls, list, only)
-	must.Eq(t, []reward.Placement{{Item: "waiting", Server: "a"}}, got)
+	must.Eq(t, []reward.Placement{{Call: "waiting", Server: "a"}}, got)
 }
 
 func TestFailedServerIsTheLastChoice(t *testing.T) {
-	c := reward.Call{Item: "1", Service: "r", Avoid: []string{"a"}}
+	c := reward.Call{ID: "1", Service: "r", Avoid: []string{"a"}}
 	must.Eq(t, "b", reward.Place(now, []reward.Call{c}, twoServers(), only)[0].Server)
 	must.Eq(t, "a", reward.Place(now, []reward.Call{c}, twoServers()[:1], only)[0].Server)
 }
@@ -105,7 +105,7 @@
 		var calls []reward.Call
 		inFlight := 0
 		for n := range rapid.IntRange(0, 40).Draw(t, "Calls") {
-			c := reward.Call{Item: fmt.Sprint(n), Service: "r", SentAt: now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "Age")) * time.Millisecond)}
+			c := reward.Call{ID: fmt.Sprint(n), Service: "r", SentAt: now.Add(-time.Duration(rapid.IntRange(0, 500).Draw(t, "Age")) * time.Millisecond)}
 			if rapid.Bool().Draw(t, "Sent") {
 				c.Servers = []string{list[rapid.IntRange(0, len(list)-1).Draw(t, "Server")].ID}
 				inFlight++
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -12,6 +12,7 @@
 
 	base "github.com/lacewingtally/lacewingtally/internal/base/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
+	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/reward"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
@@ -52,6 +53,14 @@
 	unanswered int
 }
 
+// rewardOwner is an item that awaits its score, with its job and the route of its
+// reward call.
+type rewardOwner struct {
+	job   *job
+	item  *item
+	route route.Route
+}
+
 // rewardOutcome is the result of one attempt of a reward call.
 type rewardOutcome struct {
 	status int
@@ -95,50 +104,38 @@
 // sendRewards sends the reward calls that are to be sent now. It is called with
 // the mutex held.
 func (r *Runner) sendRewards(ctx context.Context, now time.Time) {
-	owned := make(map[string]rewardOwner)
+	owners := make(map[string]rewardOwner)
 	var calls []reward.Call
 	for _, j := range r.jobs {
 		for _, i := range j.items {
-			target, ok := r.rewardRoute(i)
-			if !i.awaitsScore() || !ok {
+			if !i.awaitsScore() {
+				continue
+			}
+			target, ok := r.fleet.Config().Route(i.Reward.Host, path(i.Reward.Target))
+			if !ok {
 				continue
 			}
-			owned[i.ID] = rewardOwner{job: j, item: i, route: target}
-			calls = append(calls, r.toRewardCall(j, i, target))
+			c := r.toRewardCall(j, i, target)
+			owners[c.ID] = rewardOwner{job: j, item: i, route: target}
+			calls = append(calls, c)
 		}
 	}
 	if len(calls) == 0 {
 		return
 	}
-	for _, p := range reward.Place(now, calls, r.rewardServers(), r.rewardShare()) {
+	for _, p := range reward.Place(now, calls, r.rewardServers(calls), r.rewardShare()) {
 		s, ok := r.fleet.Servers().Get(p.Server)
 		if ok {
-			r.startReward(ctx, owned[p.Item], s)
+			r.startReward(ctx, owners[p.Call], s)
 		}
 	}
 }
 
-// rewardOwner is an item that awaits its score, with its job and the route of its
-// reward call.
-type rewardOwner struct {
-	job   *job
-	item  *item
-	route route.Route
-}
-
-// rewardRoute returns the route of an item's reward call by the configuration in
-// effect.
-func (r *Runner) rewardRoute(i *item) (route.Route, bool) {
-	if i.Reward == nil {
-		return route.Route{}, false
-	}
-	return r.fleet.Config().Route(i.Reward.Host, path(i.Reward.Target))
-}
-
-// toRewardCall describes an item's reward call to the decision.
+// toRewardCall describes an item's reward call to the decision. The same item may
+// be in two open jobs.
 func (r *Runner) toRewardCall(j *job, i *item, target route.Route) reward.Call {
 	c := reward.Call{
-		Item: i.ID, Service: target.Service(i.Reward.ID), DueAt: r.localTime(j.head.DueAt), Group: j.groupPosition(i.Group),
+		ID: j.head.ID + "/" + i.ID, Service: target.Service(i.Reward.ID), DueAt: r.localTime(j.head.DueAt), Group: j.groupPosition(i.Group),
 		Objective: target.Objective, NotBefore: i.reward.notBefore, SentAt: i.reward.sentAt,
 	}
 	for id := range i.reward.stops {
@@ -153,12 +150,16 @@
 	return slices.IndexFunc(j.head.Items, func(h ItemHead) bool { return h.Group == group })
 }
 
-// rewardServers returns the servers that run no weights, with their load as this
-// daemon knows it.
-func (r *Runner) rewardServers() []reward.Server {
+// rewardServers returns the servers to which calls may be sent, with their load as
+// this daemon knows it.
+func (r *Runner) rewardServers(calls []reward.Call) []reward.Server {
+	var services set.Set[string]
+	for _, c := range calls {
+		services.Add(c.Service)
+	}
 	var out []reward.Server
 	for _, s := range r.fleet.Servers().List {
-		if s.Draining || len(s.Weights) > 0 || s.Slots < 1 {
+		if s.Draining || s.Slots < 1 || !services.Contains(s.Service) {
 			continue
 		}
 		e := r.balancer.Estimate(s)
@@ -176,30 +177,23 @@
 	return reward.Share{Rank: rank, Daemons: len(runners)}
 }
 
-// startReward sends an item's reward call to a server. It is called with the mutex
-// held.
+// startReward sends an item's reward call to a server, unless the call is in
+// quarantine. It is called with the mutex held.
 func (r *Runner) startReward(ctx context.Context, o rewardOwner, s backend.Server) {
 	i := o.item
-	p := quarantine.FingerprintOf(base.Workspace(""), http.MethodPost, i.Reward.Target, string(i.Reward.Body))
+	now := time.Now()
+	req := o.request(now)
+	p := quarantine.FingerprintOf(base.Workspace(""), req.Method, req.Target, string(req.Body))
 	if r.suspects.Quarantined(p) {
-		i.reward.notBefore = time.Now().Add(quarantineDelay)
+		i.reward.notBefore = now.Add(quarantineDelay)
 		r.log.Warn("reward call in quarantine", zap.String("Job", o.job.head.ID), zap.String("Item", i.ID),
-			zap.String("Reward", i.Reward.ID), zap.String("Reason", string(refusal.ReasonQuarantine)))
+			zap.String("Reward", req.ID), zap.String("Reason", string(refusal.ReasonQuarantine)))
 		return
 	}
 	for id := range i.reward.stops {
 		// The server has not answered in time.
 		r.balancer.Avoid(id)
 	}
-	timeout := rewardTimeout
-	if o.route.MaxWait > 0 {
-		timeout = min(timeout, o.route.MaxWait)
-	}
-	now := time.Now()
-	req := backend.Request{
-		ID: i.Reward.ID, Method: http.MethodPost, Target: i.Reward.Target, Host: i.Reward.Host, Body: i.Reward.Body,
-		Deadline: now.Add(timeout),
-	}
 	c, cancel := context.WithDeadline(ctx, req.Deadline)
 	if i.reward.stops == nil {
 		i.reward.stops = make(map[string]func())
@@ -210,6 +204,18 @@
 	go r.runReward(c, o, s, req, p)
 }
 
+// request returns the request of an item's reward call. It has no workspace.
+func (o rewardOwner) request(now time.Time) backend.Request {
+	timeout := rewardTimeout
+	if o.route.MaxWait > 0 {
+		timeout = min(timeout, o.route.MaxWait)
+	}
+	c := o.item.Reward
+	return backend.Request{
+		ID: c.ID, Method: http.MethodPost, Target: c.Target, Host: c.Host, Body: c.Body, Deadline: now.Add(timeout),
+	}
+}
+
 // runReward sends a reward call to a server and records the outcome.
 func (r *Runner) runReward(ctx context.Context, o rewardOwner, s backend.Server, req backend.Request, p quarantine.Fingerprint) {
 	defer r.work.Done()
