--- a/internal/front/batch/reward_test.go
+++ b/internal/front/batch/reward_test.go
@@ -3,11 +3,13 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
 )
 
@@ -128,3 +130,16 @@
 		must.LessEq(t, 64<<10, len(b))
 	}
 }
+
+// TestLateResultsAreListedAtOnce keeps the last results of a step, for which a trainer
+// waits, from being collected as long as those that come in bursts.
+func TestLateResultsAreListedAtOnce(t *testing.T) {
+	r := newRunner(&store.Memory{}, "a")
+	now := time.Now()
+	j := r.add(Head{ID: "j", DueAt: now.Add(7 * time.Second).UnixMilli()})
+	must.Eq(t, listDelay, r.listDelay(j))
+	r.fleet.Clock.Observe(now, fleet.Uptime())
+	must.Eq(t, listDelay, r.listDelay(j))
+	late := r.add(Head{ID: "late", DueAt: now.Add(urgentListTime).UnixMilli()})
+	must.Eq(t, urgentListDelay, r.listDelay(late))
+}
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -18,8 +18,12 @@
 const (
 	// stepInterval is the time between two checks for items to start or move.
 	stepInterval = 50 * time.Millisecond
-	// listDelay is how long results are collected before they are written.
-	listDelay = 60 * time.Millisecond
+	// listDelay is how long results are collected before they are written, and
+	// urgentListDelay that of a job that is due within urgentListTime: its last
+	// results are few, and a trainer waits for them.
+	listDelay       = 60 * time.Millisecond
+	urgentListDelay = 10 * time.Millisecond
+	urgentListTime  = time.Second
 	// minCheckpointInterval is the minimum time between two checkpoints.
 	minCheckpointInterval = 500 * time.Millisecond
 	// checkpointPerRunner is added up over the daemons that run items: all of them
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
@@ -29,7 +30,7 @@
 
 // writeResults writes the results of a job until none is waiting.
 func (r *Runner) writeResults(ctx context.Context, j *job) {
-	fleet.Sleep(ctx, listDelay)
+	fleet.Sleep(ctx, r.listDelay(j))
 	for {
 		r.mutex.Lock()
 		page := nextPage(j)
@@ -45,6 +46,15 @@
 	}
 }
 
+// listDelay returns how long the results of a job are collected.
+func (r *Runner) listDelay(j *job) time.Duration {
+	now, ok := r.fleet.Clock.Now()
+	if ok && time.UnixMilli(j.head.DueAt).Sub(now) < urgentListTime {
+		return urgentListDelay
+	}
+	return listDelay
+}
+
 // nextPage removes as many of the job's waiting results as fit one page and
 // returns them.
 func nextPage(j *job) []Result {
