One backoff for failed runs and reward calls

Cause: control/reward had a copy of the doubling delay of control/schedule. Change: schedule.Backoff serves both; the test moved with it. No behaviour changes.

--- a/internal/control/reward/reward.go
+++ b/internal/control/reward/reward.go
@@ -26,10 +26,6 @@
 	minHedgeDelay = 100 * time.Millisecond
 	// maxInFlight is the maximum number of servers that run the same call.
 	maxInFlight = 2
-	// minBackoff and maxBackoff bound the delay before a call is sent again. It
-	// doubles with each attempt without an answer.
-	minBackoff = 60 * time.Millisecond
-	maxBackoff = 500 * time.Millisecond
 )
 
 // Call is a reward call that has no answer yet.
@@ -120,15 +116,6 @@
 	return max(1, schedule.Quota(total, s.Rank, s.Daemons, 0))
 }
 
-// Backoff returns the delay before a call is sent again after the given number of
-// attempts without an answer.
-func Backoff(attempts int) time.Duration {
-	if attempts < 1 {
-		return 0
-	}
-	return min(maxBackoff, minBackoff<<min(attempts-1, 10))
-}
-
 // freeSlots returns how many more calls this daemon may send to each service.
 func freeSlots(calls []Call, servers []Server, s Share) map[string]int {
 	slots := make(map[string][]int)
--- a/internal/control/reward/reward_test.go
+++ b/internal/control/reward/reward_test.go
@@ -65,13 +65,6 @@
 	must.Eq(t, "a", reward.Place(now, []reward.Call{c}, twoServers()[:1], only)[0].Server)
 }
 
-func TestBackoffIsBounded(t *testing.T) {
-	must.Eq(t, 0, reward.Backoff(0))
-	must.Eq(t, 60*time.Millisecond, reward.Backoff(1))
-	must.Eq(t, 120*time.Millisecond, reward.Backoff(2))
-	must.Eq(t, 500*time.Millisecond, reward.Backoff(100))
-}
-
 // TestSharesLeaveSlotsForLiveRequests adds up the shares of all daemons: together
 // they leave slots free on average, as long as there are as many slots as daemons.
 func TestSharesLeaveSlotsForLiveRequests(t *testing.T) {
--- a/internal/control/schedule/failures.go
+++ b/internal/control/schedule/failures.go
@@ -9,7 +9,7 @@
 	// runsPerServer times maxServers is the number of failed runs after which an
 	// item is given up even if they were on fewer than maxServers servers.
 	runsPerServer = 2
-	// minBackoff and maxBackoff bound the delay after a failed run. It doubles
+	// minBackoff and maxBackoff bound the delay after a failed attempt. It doubles
 	// with each further one.
 	minBackoff = 60 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
@@ -43,8 +43,14 @@
 
 // Backoff returns the delay before the item is run again.
 func (f Failures) Backoff() time.Duration {
-	if f.Runs == 0 {
+	return Backoff(f.Runs)
+}
+
+// Backoff returns the delay before the next attempt after the given number of failed
+// ones.
+func Backoff(failed int) time.Duration {
+	if failed < 1 {
 		return 0
 	}
-	return min(maxBackoff, minBackoff<<min(f.Runs-1, 10))
+	return min(maxBackoff, minBackoff<<min(failed-1, 10))
 }
--- a/internal/control/schedule/failures_test.go
+++ b/internal/control/schedule/failures_test.go
@@ -37,3 +37,10 @@
 	}
 	must.True(t, f.Final(3))
 }
+
+func TestBackoffIsBounded(t *testing.T) {
+	must.Eq(t, 0, schedule.Backoff(0))
+	must.Eq(t, 60*time.Millisecond, schedule.Backoff(1))
+	must.Eq(t, 120*time.Millisecond, schedule.Backoff(2))
+	must.Eq(t, 500*time.Millisecond, schedule.Backoff(100))
+}
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/reward"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
@@ -279,7 +280,7 @@
 		return
 	}
 	i.reward.unanswered++
-	i.reward.notBefore = time.Now().Add(reward.Backoff(i.reward.unanswered))
+	i.reward.notBefore = time.Now().Add(schedule.Backoff(i.reward.unanswered))
 }
 
 // recordRewardFailure counts a failed reward call, and abandons the item if it was
