--- a/internal/control/capacity/capacity.go
+++ b/internal/control/capacity/capacity.go
@@ -24,9 +24,8 @@
 }
 
 // Bounds limits the number of servers of a service in each failure domain.
-// Distribute applies Max only.
 type Bounds struct {
-	Min, Max int
+	Max int
 	// HasSpot is whether spot servers may be ordered.
 	HasSpot bool
 }
--- a/internal/control/capacity/capacity_test.go
+++ b/internal/control/capacity/capacity_test.go
@@ -16,9 +16,9 @@
 
 func TestDomainWithFewestServersIsFilledFirst(t *testing.T) {
 	domains := []capacity.Domain{{Name: "a", Standard: 4, Price: 1}, {Name: "b", Standard: 4, Price: 0.8}, {Name: "c", Standard: 3, Price: 1.2}}
-	got := capacity.Distribute(14, domains, capacity.Bounds{Min: 1, Max: 8, HasSpot: true})
+	got := capacity.Distribute(14, domains, capacity.Bounds{Max: 8, HasSpot: true})
 	must.Eq(t, []capacity.Order{{"a", 1}, {"b", 1}, {"c", 1}}, got)
-	got = capacity.Distribute(13, domains, capacity.Bounds{Min: 1, Max: 8, HasSpot: true})
+	got = capacity.Distribute(13, domains, capacity.Bounds{Max: 8, HasSpot: true})
 	must.Eq(t, []capacity.Order{{"a", 0}, {"b", 1}, {"c", 1}}, got)
 }
 
--- a/internal/front/duty/scale.go
+++ b/internal/front/duty/scale.go
@@ -100,7 +100,7 @@
 		rate += s.rate(m)
 	}
 	needed := capacity.Needed(rate, float64(slots)/schedule.DefaultPace.Seconds())
-	b := capacity.Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, HasSpot: service.Scaling.SpotPrice > 0}
+	b := capacity.Bounds{Max: service.Scaling.Max, HasSpot: service.Scaling.SpotPrice > 0}
 	now := time.Now()
 	for i, o := range capacity.Distribute(needed, domains, b) {
 		t := target{service.Name, o.Domain}
--- a/internal/model/engine/engine.go
+++ b/internal/model/engine/engine.go
@@ -78,12 +78,6 @@
 	return max(min(j.Tokens-int(math.Ceil(j.remaining-epsilon)), j.Tokens), 0)
 }
 
-// Solo returns the time that an answer takes on an otherwise idle engine with its
-// prompt cached.
-func Solo(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / (soloRate / (1 + batchCost)) * float64(time.Second))
-}
-
 // Add queues a job and starts it if a slot is free.
 func (e *Engine) Add(now time.Time, j *Job) {
 	e.Advance(now)
--- a/internal/model/report/measure.go
+++ b/internal/model/report/measure.go
@@ -16,9 +16,7 @@
 	Digits int
 	// HigherIsBetter is whether a higher value is better.
 	HigherIsBetter bool
-	// Neutral is whether neither a higher nor a lower value is better.
-	Neutral bool
-	Value   func(*experiment.Result) float64
+	Value          func(*experiment.Result) float64
 }
 
 // summary contains the mean and range of a measure over the seeds.
