--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -32,8 +31,8 @@
 type surveyedServers struct {
 	at     time.Time
 	survey schedule.Survey
-	// usable contains the IDs of the servers on which this daemon had slots.
-	usable set.Set[string]
+	// usable lists the IDs of the servers on which this daemon had slots.
+	usable []string
 }
 
 // slotView is what the slots of this daemon depend on at one time.
@@ -64,16 +63,7 @@
 	if v.at.Sub(r.surveyed.at) >= time.Duration(len(all))*surveyPerServer {
 		r.survey(v, all)
 	}
-	var out []schedule.Server
-	for _, s := range all {
-		if !r.surveyed.usable.Contains(s.ID) && v.used[s.ID] == 0 {
-			continue
-		}
-		if d, ok := r.describe(v, s); ok {
-			out = append(out, d)
-		}
-	}
-	return r.surveyed.survey, out
+	return r.surveyed.survey, r.describeOwn(v)
 }
 
 // survey looks at all servers. It is called with the mutex held.
@@ -85,15 +75,38 @@
 			continue
 		}
 		if quota, spare := r.slotsOn(s, r.serverLoad[s.ID], v); quota > 0 || spare > 0 {
-			r.surveyed.usable.Add(s.ID)
+			r.surveyed.usable = append(r.surveyed.usable, s.ID)
 		}
 		if d, ok := r.describe(v, s); ok {
 			described = append(described, d)
 		}
 	}
+	r.surveyed.usable = slices.Clip(r.surveyed.usable)
 	r.surveyed.survey = schedule.NewSurvey(described)
 }
 
+// describeOwn describes the servers that concern this daemon: those on which it had
+// slots at the last survey, and those that run its items.
+func (r *Runner) describeOwn(v slotView) []schedule.Server {
+	own := r.surveyed.usable
+	for id := range v.used {
+		if !slices.Contains(own, id) {
+			own = append(own, id)
+		}
+	}
+	var out []schedule.Server
+	for _, id := range own {
+		s, ok := r.fleet.Servers().Get(id)
+		if !ok {
+			continue
+		}
+		if d, ok := r.describe(v, s); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // describe describes a server to the scheduler. It returns false for a server that
 // gets no items.
 func (r *Runner) describe(v slotView, s backend.Server) (schedule.Server, bool) {
--- a/internal/front/fleet/follow.go
+++ b/internal/front/fleet/follow.go
@@ -29,9 +29,9 @@
 // Subscription describes a table to follow.
 type Subscription struct {
 	Table string
-	// Interval is the minimum time from the end of a call to the next one; changes
-	// that come in the meantime are read together.
-	Interval time.Duration
+	// Interval returns the time from the end of a call to the next one; changes that
+	// come in the meantime are read together. If nil, there is none.
+	Interval func() time.Duration
 	// Wait returns how long the next call may wait for a change; if nil, calls wait
 	// for feedWait.
 	Wait func() time.Duration
@@ -46,7 +46,7 @@
 // change.
 func Follow(ctx context.Context, f *State, s Subscription) {
 	after, known := int64(0), false
-	for ; ctx.Err() == nil; Sleep(ctx, s.Interval) {
+	for ; ctx.Err() == nil; s.pause(ctx) {
 		sentAt := Uptime()
 		r, err := s.next(ctx, f.store, after, known)
 		if errors.Is(err, store.ErrCompacted) {
@@ -65,6 +65,13 @@
 	}
 }
 
+// pause waits until the next call is due.
+func (s Subscription) pause(ctx context.Context) {
+	if s.Interval != nil {
+		Sleep(ctx, s.Interval())
+	}
+}
+
 // next makes one call: it reads the complete table unless it is known as of the
 // version after.
 func (s Subscription) next(ctx context.Context, from store.Store, after int64, known bool) (store.Snapshot, error) {
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -13,18 +13,21 @@
 )
 
 const (
-	// serverReadInterval is the time between two reads of changes of the servers'
-	// rows. Changes that come in the meantime are read together.
-	serverReadInterval = 200 * time.Millisecond
+	// serverReadInterval is the minimum time between two reads of changes of the
+	// servers' rows, and serverReadPerServer is added to it for each server: applying
+	// changes goes through all servers.
+	serverReadInterval  = 200 * time.Millisecond
+	serverReadPerServer = 200 * time.Microsecond
 	// expiredRowGrace is how long servers whose rows are missing are kept after an
 	// outage of the store: rows that expired during the outage are written again
 	// within this time.
 	expiredRowGrace = 2200 * time.Millisecond
 	// minWait is the shortest time that a read waits for changes.
 	minWait = 10 * time.Millisecond
-	// outageThreshold is the time without an answer of the store after which rows
-	// may have expired. It is longer than a read that waits for changes.
-	outageThreshold = feedWait + 700*time.Millisecond
+	// outageThreshold is the time without an answer of the store, beyond the time
+	// between two reads, after which rows may have expired. It is longer than a read
+	// that waits for changes.
+	outageThreshold = feedWait + 500*time.Millisecond
 )
 
 // Servers is an immutable list of the servers that may be used.
@@ -51,8 +54,9 @@
 func (f *State) ServeServers(ctx context.Context) error {
 	var d directory
 	Follow(ctx, f, Subscription{
-		Table: f.codec.ServerTable, Interval: serverReadInterval, Read: f.readServers,
-		Wait: func() time.Duration { return d.wait(Uptime()) },
+		Table: f.codec.ServerTable, Read: f.readServers,
+		Interval: func() time.Duration { return serverInterval(len(f.Servers().List)) },
+		Wait:     func() time.Duration { return d.wait(Uptime()) },
 		Apply: func(u Update) {
 			d.apply(u)
 			f.updateServers(&d, Uptime())
@@ -61,6 +65,12 @@
 	return nil
 }
 
+// serverInterval returns the time between two reads of changes of the rows of a
+// number of servers.
+func serverInterval(servers int) time.Duration {
+	return serverReadInterval + time.Duration(servers)*serverReadPerServer
+}
+
 // readServers reads all rows of the servers' table.
 func (f *State) readServers(ctx context.Context) (store.Snapshot, error) {
 	return store.ReadAll(ctx, f.store, store.Range{Table: f.codec.ServerTable})
@@ -137,7 +147,7 @@
 // needsUpdate records an answer of the store at an uptime, and reports whether the
 // servers may have changed since the last one.
 func (d *directory) needsUpdate(at time.Duration) bool {
-	if d.readAt > 0 && at-d.readAt > outageThreshold {
+	if d.readAt > 0 && at-d.readAt > outageThreshold+serverInterval(len(d.servers)) {
 		d.graceUntil = at + expiredRowGrace
 	}
 	d.readAt = at
