Count reward calls without an answer as failures

Cause: the attempt's context was cancelled before it was asked whether the attempt had been cancelled, so each broken or timed-out call looked like a cancelled one: no backoff, no other server first, no suspect, no metric. The call was repeated at the next check, twenty times a second, and one that crashes servers went on for ever.

Change: the state of the context is read before the attempt is ended.

Before: TestRewardCallThatCrashesServersIsQuarantined fails (no quarantine within 30 s); after: it passes, with three runs of the call.

--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -223,22 +223,22 @@
 	begunAt := time.Now()
 	out := r.attemptReward(ctx, s, req)
 	took := time.Since(begunAt)
+	// A call that was cancelled tells nothing about the server.
+	cancelled := errors.Is(ctx.Err(), context.Canceled) && out.err != nil
+	timedOut := ctx.Err() != nil
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	i := o.item
-	stop, active := i.reward.stops[s.ID]
-	delete(i.reward.stops, s.ID)
-	if active {
+	if stop, ok := i.reward.stops[s.ID]; ok {
 		stop()
+		delete(i.reward.stops, s.ID)
 	}
-	// A call that was cancelled tells nothing about the server.
-	cancelled := errors.Is(ctx.Err(), context.Canceled) && out.err != nil
 	r.balancer.Done(s.ID, took, out.load, !cancelled && (out.err != nil || out.notRun))
 	if cancelled || i.done || o.job.ended {
 		return
 	}
 	r.metrics.Attempt(metrics.KindReward, metrics.Outcome(out.status, out.notRun, out.err), s.Address.String(), took)
-	if errors.Is(out.err, backend.ErrIncomplete) && ctx.Err() == nil {
+	if errors.Is(out.err, backend.ErrIncomplete) && !timedOut {
 		r.suspects.Suspect(p)
 	}
 	r.handleReward(o, s, out, took)
