--- a/internal/front/batch/create_test.go
+++ b/internal/front/batch/create_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,13 +112,12 @@
 func TestInterruptedSubmissionLeavesNoJob(t *testing.T) {
 	for _, failure := range []error{store.ErrUnavailable, store.ErrUnknown} {
 		for cut := range 5 {
-			commits, outcome := 0, failure
+			outcome := failure
+			// The bodies are written concurrently.
+			var commits atomic.Int64
 			m := &store.Memory{}
 			m.Fail = func(write bool) error {
-				if write {
-					commits++
-				}
-				if write && commits == cut+1 {
+				if write && commits.Add(1) == int64(cut+1) {
 					return failure
 				}
 				return nil
