--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -142,7 +142,10 @@
 	for id := range i.reward.stops {
 		c.Servers = append(c.Servers, id)
 	}
-	c.Avoid = append(slices.Clone(i.progress.RewardFailures.Servers), i.reward.avoid)
+	c.Avoid = slices.Clone(i.progress.RewardFailures.Servers)
+	if i.reward.avoid != "" {
+		c.Avoid = append(c.Avoid, i.reward.avoid)
+	}
 	return c
 }
 
@@ -225,7 +228,7 @@
 	took := time.Since(begunAt)
 	// A call that was cancelled tells nothing about the server.
 	cancelled := errors.Is(ctx.Err(), context.Canceled) && out.err != nil
-	timedOut := ctx.Err() != nil
+	ended := ctx.Err() != nil
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	i := o.item
@@ -238,7 +241,7 @@
 		return
 	}
 	r.metrics.Attempt(metrics.KindReward, metrics.Outcome(out.status, out.notRun, out.err), s.Address.String(), took)
-	if errors.Is(out.err, backend.ErrIncomplete) && !timedOut {
+	if errors.Is(out.err, backend.ErrIncomplete) && !ended {
 		r.suspects.Suspect(p)
 	}
 	r.handleReward(o, s, out, took)
