Stop using a server that announces its shutdown in a response

Cause: servers may announce their shutdown in all responses (Server-Leaving: 1) before, or without, a change of their row. A daemon believed the row only, so one cut off from the store kept sending requests to a leaving server.

Change: the client of backend servers reports each response that carries the header (requests, items, reward calls, orders, reports, refusals, stream heads; not 421, which another server at the address sends). The fleet state marks that incarnation as draining, whatever the row says and until the next start, so every decision that skips draining servers follows at once. An order is not sent if the query before it brought the announcement.

--- a/cmd/lacewingtally/front.go
+++ b/cmd/lacewingtally/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/daemon/telemetry"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/batch"
 	"github.com/lacewingtally/lacewingtally/internal/front/daemon"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -48,8 +49,10 @@
 			Version:       operator.DecodeVersion,
 			Server:        server.Decode,
 		},
-		Store:    store.New(s.Store),
-		Servers:  server.NewClient(),
+		Store: store.New(s.Store),
+		Servers: func(leaving func(backend.Server)) backend.Client {
+			return server.NewClient(leaving)
+		},
 		Reporter: platform,
 		Scaler:   platform,
 		Callers: func(f *forward.Forwarder, j *batch.Service, leaving func() bool) http.Handler {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -40,9 +40,11 @@
 // Dependencies are the daemon's dependencies: mostly adapters to the platform. All
 // fields are required.
 type Dependencies struct {
-	Codec    fleet.Codec
-	Store    store.Store
-	Servers  backend.Client
+	Codec fleet.Codec
+	Store store.Store
+	// Servers returns the client of the backend servers. The client calls leaving for
+	// each response in which a server announces its shutdown.
+	Servers  func(leaving func(backend.Server)) backend.Client
 	Reporter duty.Reporter
 	Scaler   duty.Scaler
 	// Callers returns the handler of callers' requests. Its last parameter reports
@@ -132,15 +134,16 @@
 	d.fleet = fleet.New(d.relay, p.Codec, log)
 	ledger := batch.Ledger{Store: d.relay}
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
-	servers := &balance.Balancer{Domain: s.Domain}
-	d.forwarder = forward.New(d.fleet, p.Servers, servers, d.meter, p.Metrics, self, log)
-	d.runner = batch.NewRunner(d.fleet, ledger, p.Servers, servers, d.forwarder, p.Metrics, self, log)
+	client := p.Servers(d.fleet.RecordLeaving)
+	balancer := &balance.Balancer{Domain: s.Domain}
+	d.forwarder = forward.New(d.fleet, client, balancer, d.meter, p.Metrics, self, log)
+	d.runner = batch.NewRunner(d.fleet, ledger, client, balancer, d.forwarder, p.Metrics, self, log)
 	d.runner.Handle(&d.mux)
 	d.fleet.Handle(&d.mux)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
 	d.sweeper = batch.NewSweeper(d.fleet, ledger, s.Bounds.KeepResults, self, log)
 	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
-	d.weights = duty.NewWeights(d.fleet, p.Servers, d.keeper, d.runner.ExpectedTokens, d.notifyLoads, self, log)
+	d.weights = duty.NewWeights(d.fleet, client, d.keeper, d.runner.ExpectedTokens, d.notifyLoads, self, log)
 	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.TokenRate, self, log)
 	return d
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -245,6 +245,10 @@
 	if err != nil {
 		return backend.Refused, errors.Wrap(errNotOrdered, err.Error())
 	}
+	if current, ok := w.fleet.Servers().Get(s.ID); ok && current.Draining {
+		// The response to the query may have been the first to announce it.
+		return backend.Refused, errors.Wrap(errNotOrdered, "server is draining")
+	}
 	l.expected = status.Orders
 	fence, err := w.holder.Check()
 	if err != nil {
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -68,6 +68,8 @@
 	// operatorRows and serverRows are the rows last read, served to peers.
 	operatorRows map[string]store.Row
 	serverRows   []store.Row
+	// leaving holds the servers that announced their shutdown in a response.
+	leaving leavingServers
 }
 
 // New returns a State that is empty until its Serve methods run.
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -105,8 +105,8 @@
 	rows := slices.Collect(maps.Values(d.rows))
 	f.mutex.Lock()
 	f.serverRows = rows
+	f.servers.Store(f.leaving.apply(d.snapshot(), now))
 	f.mutex.Unlock()
-	f.servers.Store(d.snapshot())
 	f.pruneWeights()
 }
 
