Answer a waiting read when the trainer's groups are complete

Cause: a trainer pauses for half a second between reads and ends a step only after a read that brought the last group it desires. A waiting read was answered by the first result of an incomplete group, which is of no use to the trainer; the last group was then found after the pause.

Change: a read that waits is answered once the desired groups are complete, all items have results, or the caller's own wait is over; a read that finds results is answered at once, as before. While one group is missing the index is read each 25 ms instead of 90. control/step decides, the index rows list the positions of the items instead of their number (rows of earlier builds are still read; an earlier build answers 503 to reads of jobs that a new one has listed).

--- a/internal/front/batch/ledger.go
+++ b/internal/front/batch/ledger.go
@@ -19,7 +19,7 @@
 	bodyTable = "bodies"
 	// doneTable contains one row for each item that has a result.
 	doneTable = "done"
-	// indexTable contains the number of results of each page.
+	// indexTable contains the positions of the items that have results in each page.
 	indexTable = "index"
 	// pageTable contains results.
 	pageTable = "pages"
--- a/internal/front/batch/listing.go
+++ b/internal/front/batch/listing.go
@@ -12,6 +12,9 @@
 	Name    string
 	Version int64
 	Count   int
+	// Positions are the positions in the job of the items that have the results; nil
+	// if they are not stored.
+	Positions []int
 }
 
 // pageRange is a range of results within one page.
--- a/internal/front/batch/listing_test.go
+++ b/internal/front/batch/listing_test.go
@@ -12,6 +12,32 @@
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
 )
 
+// numbered is the head of a job with items whose IDs are their positions.
+var numbered = func() Head {
+	h := Head{ID: "j"}
+	for n := range 40 {
+		h.Items = append(h.Items, ItemHead{ID: strconv.Itoa(n)})
+	}
+	return h
+}()
+
+// TestIndexOfEarlierBuild reads an index row that contains only the number of
+// results, and one that lists their positions.
+func TestIndexOfEarlierBuild(t *testing.T) {
+	m := &store.Memory{}
+	_, err := m.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: indexTable, Part: "j", Name: "a"}, Value: []byte("12")}}})
+	must.NoError(t, err)
+	l := Ledger{Store: m}
+	_, _, err = l.writePage(t.Context(), numbered, "b", []Result{{ID: "7"}, {ID: "3"}})
+	must.NoError(t, err)
+	pages, err := l.pages(t.Context(), "j")
+	must.NoError(t, err)
+	must.Eq(t, 12, pages[0].Count)
+	must.Nil(t, pages[0].Positions)
+	must.Eq(t, 2, pages[1].Count)
+	must.Eq(t, []int{7, 3}, pages[1].Positions)
+}
+
 // TestResultPositionsNeverChange writes pages from two daemons in any order,
 // some for the same items and some whose responses are lost. Between the writes,
 // it checks that results keep their positions, and reads from any position.
@@ -31,7 +57,7 @@
 			loseResponse = rapid.Bool().Draw(t, "LoseAnswer")
 			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "Daemon") + "-" + strconv.Itoa(n)
 			for len(page) > 0 {
-				existing, stored, err := l.writePage(ctx, "j", name, page)
+				existing, stored, err := l.writePage(ctx, numbered, name, page)
 				loseResponse = false
 				if err == nil || stored {
 					break
@@ -93,7 +119,7 @@
 		for _, id := range ids {
 			results = append(results, Result{ID: id, State: Completed})
 		}
-		_, _, err := Ledger{Store: m}.writePage(context.Background(), "j", page, results)
+		_, _, err := Ledger{Store: m}.writePage(context.Background(), numbered, page, results)
 		must.NoError(t, err)
 	}
 	writePage("b", "1")
@@ -119,7 +145,7 @@
 // does if a peer hands over a result that it has produced as well.
 func TestPageHoldsItemOnce(t *testing.T) {
 	l := Ledger{Store: &store.Memory{}}
-	_, _, err := l.writePage(context.Background(), "j", "p", []Result{{ID: "1", Text: "a"}, {ID: "2"}, {ID: "1", Text: "b"}})
+	_, _, err := l.writePage(context.Background(), numbered, "p", []Result{{ID: "1", Text: "a"}, {ID: "2"}, {ID: "1", Text: "b"}})
 	must.NoError(t, err)
 	pages, err := l.pages(context.Background(), "j")
 	must.NoError(t, err)
@@ -134,7 +160,7 @@
 func TestLongTextSpansSeveralRows(t *testing.T) {
 	l := Ledger{Store: &store.Memory{}}
 	text := strings.Repeat("x", 3*chunkBytes)
-	_, _, err := l.writePage(context.Background(), "j", "p", []Result{{ID: "1", State: Completed, Text: text}})
+	_, _, err := l.writePage(context.Background(), numbered, "p", []Result{{ID: "1", State: Completed, Text: text}})
 	must.NoError(t, err)
 	pages, err := l.pages(context.Background(), "j")
 	must.NoError(t, err)
--- a/internal/front/batch/pages.go
+++ b/internal/front/batch/pages.go
@@ -28,15 +28,28 @@
 			// calls may have missed a page written before it.
 			continue
 		}
-		n, err := strconv.Atoi(string(r.Value))
+		p, err := decodeIndex(r)
 		if err != nil {
 			return nil, errors.Wrap(err, "batch: index")
 		}
-		pages = append(pages, page{Name: r.Key.Name, Version: r.Version, Count: n})
+		pages = append(pages, p)
 	}
 	return pages, nil
 }
 
+// decodeIndex decodes an index row. Daemons of earlier builds wrote the number of
+// results as decimal text; now a row lists the positions of the items.
+func decodeIndex(r store.Row) (page, error) {
+	p := page{Name: r.Key.Name, Version: r.Version}
+	if n, err := strconv.Atoi(string(r.Value)); err == nil {
+		p.Count = n
+		return p, nil
+	}
+	err := msgpack.Unmarshal(r.Value, &p.Positions)
+	p.Count = len(p.Positions)
+	return p, err
+}
+
 // results reads the results of page ranges, up to maxAnswerBytes of text but at
 // least one result, and from at most maxTxnEntries pages.
 func (l Ledger) results(ctx context.Context, id string, ranges []pageRange) ([]Result, error) {
@@ -86,20 +99,25 @@
 	return results, nil
 }
 
-// writePage writes a page of results of items that have none yet. With
+// writePage writes a page of results of a job's items that have none yet. With
 // store.ErrConflict, it returns the items that have a result already; stored is
 // set if this page itself was written by an earlier attempt.
-func (l Ledger) writePage(ctx context.Context, id, name string, results []Result) (existing map[string]bool, stored bool, err error) {
+func (l Ledger) writePage(ctx context.Context, h Head, name string, results []Result) (existing map[string]bool, stored bool, err error) {
+	id := h.ID
 	results = unique(results)
 	b, err := msgpack.Marshal(results)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "batch: page")
 	}
+	positions, err := msgpack.Marshal(h.positions(results))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "batch: index")
+	}
 	index := store.Key{Table: indexTable, Part: id, Name: name}
 	t := store.Txn{
 		Conditions: []store.Row{{Key: index}},
 		Puts: []store.Row{
-			{Key: index, Value: []byte(strconv.Itoa(len(results)))},
+			{Key: index, Value: positions},
 		},
 	}
 	for n, b := range slices.Collect(slices.Chunk(b, chunkBytes)) {
@@ -128,6 +146,15 @@
 	return existing, stored, err
 }
 
+// positions returns the positions in the job of the items that have the results.
+func (h Head) positions(results []Result) []int {
+	out := make([]int, len(results))
+	for i, r := range results {
+		out[i] = slices.IndexFunc(h.Items, func(x ItemHead) bool { return x.ID == r.ID })
+	}
+	return out
+}
+
 // unique returns the first result of each item. The conditions of the
 // transaction prevent an item from being in two pages, but not from being in
 // one page twice.
--- a/internal/front/batch/service.go
+++ b/internal/front/batch/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
+	"github.com/lacewingtally/lacewingtally/internal/control/step"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
 )
@@ -19,8 +20,10 @@
 	// acceptAttempts is the maximum number of attempts to write a job.
 	acceptAttempts = 3
 	// pollInterval is the time between two reads of the index while a caller
-	// waits for results.
-	pollInterval = 90 * time.Millisecond
+	// waits for results, and lastPollInterval that while the trainer waits for one
+	// more group only.
+	pollInterval     = 90 * time.Millisecond
+	lastPollInterval = 25 * time.Millisecond
 	// retryInterval is the pause after a failed call to the store.
 	retryInterval = 60 * time.Millisecond
 	// endTimeout limits one attempt to end a job.
@@ -98,29 +101,58 @@
 	return unavailable(store.ErrUnavailable)
 }
 
-// Results returns the results from a position on. If there are none yet, it
-// waits for the first one, at most for the duration wait. Its error is
-// ErrNotFound or a *refusal.Error.
+// Results returns the results from a position on. If there are none yet, it waits, at
+// most for the duration wait, until there are some and the groups that the trainer
+// desires are complete: a trainer that is answered earlier has nothing to go on with,
+// and reads again only after a pause. Its error is ErrNotFound or a *refusal.Error.
 func (s *Service) Results(ctx context.Context, workspace, id string, after int, wait time.Duration) (Answer, error) {
 	h, err := s.head(ctx, workspace, id)
 	if err != nil {
 		return Answer{}, err
 	}
 	deadline := time.Now().Add(wait)
-	for {
+	groups := h.groups()
+	for waited := false; ; waited = true {
 		pages, err := s.ledger.pages(ctx, id)
 		if err != nil {
 			return Answer{}, unavailable(err)
 		}
 		ranges, total := locate(pages, after)
-		if len(ranges) > 0 {
+		missing := missingGroups(groups, pages)
+		over := total >= len(h.Items) || !time.Now().Before(deadline) || ctx.Err() != nil
+		switch {
+		case len(ranges) > 0 && (!waited || over || missing == 0):
 			return s.answer(ctx, h, after, ranges)
-		}
-		if total >= len(h.Items) || !time.Now().Before(deadline) || ctx.Err() != nil {
+		case over:
 			return Answer{Total: len(h.Items), Next: after}, nil
+		case missing == 1:
+			fleet.Sleep(ctx, lastPollInterval)
+		default:
+			fleet.Sleep(ctx, pollInterval)
+		}
+	}
+}
+
+// groups returns the groups of a job's items.
+func (h Head) groups() step.Groups {
+	names := make([]string, len(h.Items))
+	for i, x := range h.Items {
+		names[i] = x.Group
+	}
+	return step.NewGroups(names, h.Desired)
+}
+
+// missingGroups returns how many more groups the trainer waits for, or 0 if the index
+// does not tell.
+func missingGroups(g step.Groups, pages []page) int {
+	var finished []int
+	for _, p := range pages {
+		if p.Positions == nil {
+			return 0
 		}
-		fleet.Sleep(ctx, pollInterval)
+		finished = append(finished, p.Positions...)
 	}
+	return g.Missing(finished)
 }
 
 // Body returns the body of an item. Its error is ErrNotFound or a
--- a/internal/front/batch/sweep_test.go
+++ b/internal/front/batch/sweep_test.go
@@ -24,11 +24,12 @@
 		items = append(items, Item{ID: id, Body: make([]byte, 4000)})
 		results = append(results, Result{ID: id, State: Completed, Text: "t"})
 	}
-	h := Head{ID: "j", SubmittedAt: submitted.UnixMilli(), Shards: []Shard{{Member: "a"}}}
+	h := numbered
+	h.SubmittedAt, h.Shards = submitted.UnixMilli(), []Shard{{Member: "a"}}
 	_, err := l.create(t.Context(), h, [][]Item{items}, "a-1")
 	must.NoError(t, err)
 	for n := range 3 {
-		_, _, err := l.writePage(t.Context(), "j", fmt.Sprint("p", n), results[n*10:n*10+10])
+		_, _, err := l.writePage(t.Context(), h, fmt.Sprint("p", n), results[n*10:n*10+10])
 		must.NoError(t, err)
 	}
 	s := NewSweeper(nil, l, 2*time.Minute, "self", zap.NewNop())
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -42,7 +42,7 @@
 			return
 		}
 		r.mutex.Unlock()
-		r.writePage(context.WithoutCancel(ctx), j.head.ID, name, page)
+		r.writePage(context.WithoutCancel(ctx), j.head, name, page)
 	}
 }
 
@@ -70,19 +70,19 @@
 
 // writePage writes a page and retries until the store has it. Results of items
 // that already have a result in the store are left out.
-func (r *Runner) writePage(ctx context.Context, id, name string, page []Result) {
+func (r *Runner) writePage(ctx context.Context, h Head, name string, page []Result) {
 	for len(page) > 0 {
 		c, cancel := context.WithTimeout(ctx, writeTimeout)
-		existing, stored, err := r.ledger.writePage(c, id, name, page)
+		existing, stored, err := r.ledger.writePage(c, h, name, page)
 		cancel()
 		switch {
 		case err == nil || stored:
-			r.log.Info("results listed", zap.String("Job", id), zap.String("Page", name), zap.Int("Results", len(page)))
+			r.log.Info("results listed", zap.String("Job", h.ID), zap.String("Page", name), zap.Int("Results", len(page)))
 			return
 		case errors.Is(err, store.ErrConflict):
 			page = without(page, existing)
 		default:
-			r.log.Warn("results not listed yet", zap.String("Job", id), zap.String("Page", name), zap.Error(err))
+			r.log.Warn("results not listed yet", zap.String("Job", h.ID), zap.String("Page", name), zap.Error(err))
 			fleet.Sleep(ctx, retryInterval)
 		}
 	}
