--- a/internal/daemon/command/explain.go
+++ b/internal/daemon/command/explain.go
@@ -17,12 +17,13 @@
 	c := a.Command("explain", "Print the log lines of a request, a batch job or an item from all daemons, in order.")
 	id := c.Arg("id", "ID of the request, the job or the item.").Required().String()
 	files := c.Arg("log", "Files with the daemons' output, one per daemon.").Required().ExistingFiles()
+	step := c.Flag("step", "Print instead where the training step of this batch job spent its time.").Bool()
 	c.Action(func(*kingpin.ParseContext) error {
-		return s.explain(*id, *files)
+		return s.explain(*id, *files, *step)
 	})
 }
 
-func (s *session) explain(id string, files []string) error {
+func (s *session) explain(id string, files []string, step bool) error {
 	var logs []explain.Log
 	for _, name := range files {
 		f, err := os.Open(name)
@@ -33,6 +34,13 @@
 		source := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
 		logs = append(logs, explain.Log{Source: source, Reader: f})
 	}
+	if step {
+		analyzed, err := explain.AnalyzeStep(id, logs)
+		if err != nil {
+			return withExitCode(ExitFailed, err)
+		}
+		return analyzed.Write(s.Stdout)
+	}
 	lines, err := explain.Collect(id, logs)
 	if err != nil {
 		return withExitCode(ExitFailed, err)
--- /dev/null
+++ b/internal/daemon/explain/step.go
@@ -0,0 +1,152 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Messages of the lines that describe a training step, and their fields.
+const (
+	messageAccepted  = "job accepted"
+	messageCompleted = "item completed"
+	messageListed    = "results listed"
+	messageEnded     = "job ended"
+
+	groupField   = "Group"
+	stepField    = "Step"
+	desiredField = "Desired"
+	eventsField  = "Events"
+	runsField    = "Runs"
+	serverField  = "Server"
+)
+
+// ErrNoStep is returned when the logs do not contain the acceptance of a step and the
+// completion of the groups that its trainer desired.
+var ErrNoStep = errors.New("explain: step not accepted, or not complete, in these logs")
+
+// cause is a part of the time of the item that ended a step, by the field of its line.
+type cause struct {
+	field, text string
+}
+
+// causes are the parts of an item's time, in their usual order.
+var causes = []cause{
+	{"Waited", "waiting for a server"},
+	{"Starting", "until the first event of each run"},
+	{"Generating", "between events, at the usual pace"},
+	{"Stalled", "between events, beyond the usual pace"},
+	{"Interrupted", "in runs that ended early, after their last event"},
+	{"Scoring", "waiting for the score"},
+}
+
+// Step is how a training step spent its time: on the item that completed the last
+// group that the trainer desired.
+type Step struct {
+	Job           string
+	Number        int
+	Desired       int
+	AcceptedAt    time.Time
+	Last          Line
+	ListedAfter   time.Duration
+	EndedAfter    time.Duration
+	completeAfter time.Duration
+}
+
+// AnalyzeStep returns how the step of a job spent its time.
+func AnalyzeStep(job string, logs []Log) (Step, error) {
+	lines, err := collectJob(job, logs)
+	if err != nil {
+		return Step{}, err
+	}
+	s := Step{Job: job}
+	var completed []Line
+	for _, l := range lines {
+		switch l.Message {
+		case messageAccepted:
+			if s.AcceptedAt.IsZero() {
+				s.AcceptedAt, s.Number, s.Desired = l.At, l.number(stepField), l.number(desiredField)
+			}
+		case messageCompleted:
+			completed = append(completed, l)
+		}
+	}
+	last, ok := lastDesired(completed, s.Desired)
+	if s.AcceptedAt.IsZero() || !ok {
+		return Step{}, errors.Wrap(ErrNoStep, job)
+	}
+	s.Last, s.completeAfter = last, last.At.Sub(s.AcceptedAt)
+	for _, l := range lines {
+		switch {
+		case l.Message == messageListed && l.Source == last.Source && s.ListedAfter == 0 && !l.At.Before(last.At):
+			s.ListedAfter = l.At.Sub(last.At)
+		case l.Message == messageEnded && s.EndedAfter == 0 && !l.At.Before(last.At):
+			s.EndedAfter = l.At.Sub(last.At)
+		}
+	}
+	return s, nil
+}
+
+// collectJob returns the lines of a job, sorted by time.
+func collectJob(job string, logs []Log) ([]Line, error) {
+	var out []Line
+	for _, l := range logs {
+		lines, err := read(l)
+		if err != nil {
+			return nil, err
+		}
+		for _, x := range lines {
+			if x.Fields[jobField] == job {
+				out = append(out, x)
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.At.Compare(b.At) })
+	return out, nil
+}
+
+// lastDesired returns the completion that made the desired number of groups complete.
+// A group counts as complete with the last of its items that was completed.
+func lastDesired(completed []Line, desired int) (Line, bool) {
+	lastOf := make(map[any]Line)
+	for _, l := range completed {
+		lastOf[l.Fields[groupField]] = l
+	}
+	ends := make([]Line, 0, len(lastOf))
+	for _, l := range lastOf {
+		ends = append(ends, l)
+	}
+	slices.SortFunc(ends, func(a, b Line) int { return a.At.Compare(b.At) })
+	if desired < 1 || len(ends) < desired {
+		return Line{}, false
+	}
+	return ends[desired-1], true
+}
+
+// Write prints the step.
+func (s Step) Write(w io.Writer) error {
+	line := func(seconds float64, text string) string { return fmt.Sprintf("%9.3f s  %s\n", seconds, text) }
+	out := fmt.Sprintf("step %d, job %s: item %v of group %v completed the last of %d groups %.3f s after the job was accepted (%d events, %d runs, server %v)\n",
+		s.Number, s.Job, s.Last.Fields[itemField], s.Last.Fields[groupField], s.Desired, s.completeAfter.Seconds(),
+		s.Last.number(eventsField), s.Last.number(runsField), s.Last.Fields[serverField])
+	known := 0.0
+	for _, c := range causes {
+		seconds, _ := s.Last.Fields[c.field].(float64)
+		known += seconds
+		out += line(seconds, c.text)
+	}
+	out += line(s.completeAfter.Seconds()-known, "elsewhere: before its daemon had it, or at a daemon that ended")
+	out += line(s.ListedAfter.Seconds(), "until the result was listed")
+	out += line((s.EndedAfter - s.ListedAfter).Seconds(), "until the trainer ended the job")
+	_, err := io.WriteString(w, out)
+	return errors.Wrap(err, "explain: write")
+}
+
+// number returns a field that holds a whole number, or 0 if there is none.
+func (l Line) number(field string) int {
+	v, _ := l.Fields[field].(float64)
+	return int(v)
+}
--- /dev/null
+++ b/internal/daemon/explain/step_test.go
@@ -0,0 +1,46 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/daemon/explain"
+)
+
+const stepLog1 = `{"Level":"info","At":"2026-06-28T05:53:40Z","Message":"job accepted","Job":"j","Step":3,"Desired":2,"Items":4}
+{"Level":"info","At":"2026-06-28T05:53:41Z","Message":"item completed","Job":"j","Item":"1","Group":"a"}
+{"Level":"info","At":"2026-06-28T05:53:42Z","Message":"item completed","Job":"j","Item":"2","Group":"a"}
+{"Level":"info","At":"2026-06-28T05:53:47.9Z","Message":"item completed","Job":"j","Item":"4","Group":"c"}
+{"Level":"info","At":"2026-06-28T05:53:47.5Z","Message":"job ended","Job":"j"}
+`
+
+const stepLog2 = `{"Level":"info","At":"2026-06-28T05:53:47Z","Message":"item completed","Job":"j","Item":"3","Group":"b","Events":160,"Runs":2,"Server":"s1","Waited":0.5,"Starting":0.1,"Generating":6,"Stalled":0.2,"Interrupted":0.05,"Scoring":0.1}
+{"Level":"info","At":"2026-06-28T05:53:47.1Z","Message":"results listed","Job":"j","Results":1}
+{"Level":"info","At":"2026-06-28T05:53:47.2Z","Message":"results listed","Job":"other","Results":1}
+`
+
+// TestAnalyzeStep covers a step that leaves out one of three groups.
+func TestAnalyzeStep(t *testing.T) {
+	s, err := explain.AnalyzeStep("j", []explain.Log{{"vm-1", strings.NewReader(stepLog1)}, {"vm-2", strings.NewReader(stepLog2)}})
+	must.NoError(t, err)
+	var b strings.Builder
+	must.NoError(t, s.Write(&b))
+	must.Eq(t, `step 3, job j: item 3 of group b completed the last of 2 groups 7.000 s after the job was accepted (160 events, 2 runs, server s1)
+    0.500 s  waiting for a server
+    0.100 s  until the first event of each run
+    6.000 s  between events, at the usual pace
+    0.200 s  between events, beyond the usual pace
+    0.050 s  in runs that ended early, after their last event
+    0.100 s  waiting for the score
+    0.050 s  elsewhere: before its daemon had it, or at a daemon that ended
+    0.100 s  until the result was listed
+    0.400 s  until the trainer ended the job
+`, b.String())
+}
+
+func TestAnalyzeStepWithoutLines(t *testing.T) {
+	_, err := explain.AnalyzeStep("j", []explain.Log{{"vm-2", strings.NewReader(stepLog2)}})
+	must.ErrorIs(t, err, explain.ErrNoStep)
+}
--- a/internal/front/metrics/metrics.go
+++ b/internal/front/metrics/metrics.go
@@ -21,6 +21,7 @@
 	ConfigAge      Name = "config_age_seconds"
 	ConfigVersion  Name = "config_version"
 	DutyHeld       Name = "duty_held"
+	ItemSeconds    Name = "item_seconds"
 	ItemsRunning   Name = "items_running"
 	ItemsScoring   Name = "items_scoring"
 	ItemsWaiting   Name = "items_waiting"
@@ -43,6 +44,7 @@
 	// interval is the time between two updates of the scrape endpoint.
 	interval = time.Second
 
+	tagCause   = "cause"
 	tagKind    = "kind"
 	tagOutcome = "outcome"
 	tagServer  = "server"
@@ -64,7 +66,7 @@
 // Names returns all names.
 func Names() []Name {
 	return []Name{
-		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemsRunning, ItemsScoring, ItemsWaiting, JobsOpen,
+		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemSeconds, ItemsRunning, ItemsScoring, ItemsWaiting, JobsOpen,
 		LinesLeftOut, Members, MembersAge, RequestSeconds, Requests, ServerFailures, Servers, StoreAge, StoreRelayed,
 	}
 }
@@ -126,6 +128,14 @@
 	}
 }
 
+// ItemTime records the time that a completed item has spent for one of Causes.
+func (m *Metrics) ItemTime(cause string, spent time.Duration) {
+	if m.scope == nil {
+		return
+	}
+	m.scope.Tagged(map[string]string{tagCause: cause}).Histogram(string(ItemSeconds), buckets).RecordValue(spent.Seconds())
+}
+
 // serverLabel returns the label value of a server: its address, or otherServer if
 // maxServers others have their own.
 func (m *Metrics) serverLabel(server string) string {
--- a/internal/front/metrics/outcome.go
+++ b/internal/front/metrics/outcome.go
@@ -28,6 +28,23 @@
 	OutcomeNotSent  = "NotSent"
 )
 
+// Causes for which items of batch jobs spend their time: waiting for a server, the
+// time until a run's first event, generating at the server's usual pace, what exceeds
+// it, the time after the last event of a run that ended early, and the score.
+const (
+	CauseWaiting     = "Waiting"
+	CauseStarting    = "Starting"
+	CauseGenerating  = "Generating"
+	CauseStalled     = "Stalled"
+	CauseInterrupted = "Interrupted"
+	CauseScoring     = "Scoring"
+)
+
+// Causes returns all causes.
+func Causes() []string {
+	return []string{CauseWaiting, CauseStarting, CauseGenerating, CauseStalled, CauseInterrupted, CauseScoring}
+}
+
 // Kinds returns all kinds.
 func Kinds() []string {
 	return []string{KindBody, KindItem, KindJob, KindLive, KindReward, KindSubmit}
