Estimate how much load slows engines down, and move items by it

Cause: items were moved to emptier servers as if each further item slowed a server down by 2.5 %.

Change: schedule.LoadEffect estimates the factor from the paces that a daemon observes under different loads; moves use it. Placement goes on spreading long items as before (spreadFactor).

Reverted on the way: the estimate used for placement as well.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -33,7 +33,7 @@
 
 // Move is Survey.Move, given that there are no other servers.
 func Move(now time.Time, running []Running, servers []Server) []Running {
-	return NewSurvey(servers).Move(now, running, servers)
+	return NewSurvey(servers, defaultLoadFactor).Move(now, running, servers)
 }
 
 // Move returns the running items that are to be stopped and resumed on another
@@ -42,14 +42,13 @@
 // server has a free slot. Move updates Free of the servers, which may be a part of
 // those surveyed but must contain those of the running items.
 func (v Survey) Move(now time.Time, running []Running, servers []Server) []Running {
-	fastest := v.fastest
 	var out []Running
 	for _, r := range running {
-		i := pick(Item{Service: r.Item.Service, Model: r.Item.Model, MinVersion: r.Item.MinVersion, Avoid: r.Server}, servers, fastest, access{reserved: true})
+		i := v.pick(Item{Service: r.Item.Service, Model: r.Item.Model, MinVersion: r.Item.MinVersion, Avoid: r.Server}, servers, access{reserved: true})
 		if i < 0 || servers[i].ID == r.Server {
 			continue
 		}
-		if r.Leaving || r.Unresponsive(now) || now.Sub(r.SentAt) > minRunTime && finishesSooner(r, servers, servers[i], fastest) {
+		if r.Leaving || r.Unresponsive(now) || now.Sub(r.SentAt) > minRunTime && v.finishesSooner(r, servers, servers[i]) {
 			servers[i].Free--
 			out = append(out, r)
 		}
@@ -69,17 +68,17 @@
 
 // finishesSooner reports whether moving an item to a server finishes it sooner by
 // more than minMoveGain. It is false if that server is slow itself.
-func finishesSooner(r Running, servers []Server, to Server, fastest time.Duration) bool {
+func (v Survey) finishesSooner(r Running, servers []Server, to Server) bool {
 	for _, s := range servers {
 		if s.ID != r.Server {
 			continue
 		}
-		if to.Slow(fastest) {
+		if to.Slow(v.fastest) {
 			return false
 		}
 		// The item itself is part of its server's load.
 		current := Server{Pace: s.Pace, Load: s.Load - 1}
-		saved := current.expected(fastest) - to.expected(fastest)
+		saved := v.expected(current, v.loadFactor) - v.expected(to, v.loadFactor)
 		return time.Duration(r.Item.Remaining)*saved > minMoveGain
 	}
 	return false
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -25,12 +25,13 @@
 	// slowFactor times the time per token of the fastest server is the bound
 	// above which a server gets work only if no other has a free slot.
 	slowFactor = 2
-	// loadFactor is the fraction by which each further item slows a server
-	// down.
-	loadFactor = 0.025
 	// nearFastestFactor is the ratio of the times per token up to which servers
 	// count as equally fast.
 	nearFastestFactor = 1.15
+	// spreadFactor is the load factor assumed when long items are placed. Spreading them
+	// costs nothing, and saves memory even on servers that load does not slow down:
+	// a server that has no memory left preempts items.
+	spreadFactor = defaultLoadFactor
 	// longItemTime is the remaining time above which an item counts as long.
 	longItemTime = 1500 * time.Millisecond
 	// longShare is the fraction of the servers that is reserved for long items.
@@ -119,7 +120,7 @@
 // Place assigns waiting items to servers on which they start now, given that there
 // are no other servers. It updates Free, Spare and Load of the servers.
 func Place(now time.Time, waiting []Item, servers []Server) []Placement {
-	return NewSurvey(servers).Place(now, waiting, servers)
+	return NewSurvey(servers, defaultLoadFactor).Place(now, waiting, servers)
 }
 
 // Place assigns waiting items to servers on which they start now. It updates Free,
@@ -137,7 +138,7 @@
 	}
 	var out []Placement
 	for _, it := range ready {
-		i := pick(it, servers, v.fastest, it.access(now))
+		i := v.pick(it, servers, it.access(now))
 		if i < 0 {
 			continue
 		}
@@ -162,21 +163,16 @@
 	return best
 }
 
-// UnloadedPace returns the time per token at low load, given the time per token
-// measured while the server ran load items.
-func UnloadedPace(measured time.Duration, load int) time.Duration {
-	return time.Duration(float64(measured) / (1 + loadFactor*float64(load)))
-}
-
 // nearFastest reports whether a server is about as fast as the fastest. A server
 // without measurements counts as fast.
 func (s Server) nearFastest(fastest time.Duration) bool {
 	return float64(s.Pace) <= nearFastestFactor*float64(fastest)
 }
 
-// expected returns the time per token that one more item would have.
-func (s Server) expected(fastest time.Duration) time.Duration {
-	return time.Duration(float64(max(s.Pace, fastest)) * (1 + loadFactor*float64(s.Load+1)))
+// expected returns the time per token that one more item on a server would have, if
+// each item slows it down by loadFactor.
+func (v Survey) expected(s Server, loadFactor float64) time.Duration {
+	return time.Duration(float64(max(s.Pace, v.fastest)) * (1 + loadFactor*float64(s.Load+1)))
 }
 
 // Slow reports whether a server is much slower than the fastest.
@@ -218,13 +214,13 @@
 }
 
 // pick returns the index of the best server for an item, or -1 if there is none.
-func pick(it Item, servers []Server, fastest time.Duration, a access) int {
+func (v Survey) pick(it Item, servers []Server, a access) int {
 	best := -1
 	for i, s := range servers {
 		if !s.canRun(it) || !a.allows(s) {
 			continue
 		}
-		if best < 0 || better(it, s, servers[best], fastest) {
+		if best < 0 || v.better(it, s, servers[best]) {
 			best = i
 		}
 	}
@@ -243,17 +239,17 @@
 }
 
 // better reports whether server a suits an item better than server b.
-func better(it Item, a, b Server, fastest time.Duration) bool {
+func (v Survey) better(it Item, a, b Server) bool {
 	if (a.ID == it.Avoid) != (b.ID == it.Avoid) {
 		return b.ID == it.Avoid
 	}
-	if a.Slow(fastest) != b.Slow(fastest) {
-		return b.Slow(fastest)
+	if a.Slow(v.fastest) != b.Slow(v.fastest) {
+		return b.Slow(v.fastest)
 	}
 	if a.reserved != b.reserved {
 		return a.reserved == it.long()
 	}
-	if x, y := a.expected(fastest), b.expected(fastest); it.long() && x != y {
+	if x, y := v.expected(a, spreadFactor), v.expected(b, spreadFactor); it.long() && x != y {
 		return x < y
 	}
 	if a.Load != b.Load {
--- a/internal/control/schedule/survey.go
+++ b/internal/control/schedule/survey.go
@@ -16,6 +16,8 @@
 type Survey struct {
 	// fastest is the time per token of the fastest server.
 	fastest time.Duration
+	// loadFactor is the fraction by which each further item slows a server down.
+	loadFactor float64
 	// reserved contains the IDs of the servers that are reserved for long items.
 	reserved set.Set[string]
 }
@@ -29,9 +31,10 @@
 }
 
 // NewSurvey selects the servers to reserve for long items. All daemons that have
-// the same list of servers select the same ones.
-func NewSurvey(servers []Server) Survey {
-	v := Survey{fastest: FastestPace(servers)}
+// the same list of servers select the same ones. loadFactor is the fraction by which
+// each further item slows a server down.
+func NewSurvey(servers []Server, loadFactor float64) Survey {
+	v := Survey{fastest: FastestPace(servers), loadFactor: loadFactor}
 	order := make([]candidate, 0, len(servers))
 	for _, s := range servers {
 		if !s.Slow(v.fastest) && s.Loading == "" {
--- a/internal/control/schedule/survey_test.go
+++ b/internal/control/schedule/survey_test.go
@@ -33,7 +33,7 @@
 			it.ReadyAt = start
 			waiting = append(waiting, it)
 		}
-		survey := schedule.NewSurvey(all)
+		survey := schedule.NewSurvey(all, new(schedule.LoadEffect).Factor())
 		got := survey.Place(start, slices.Clone(waiting), usable)
 		must.Eq(t, schedule.Place(start, waiting, all), got)
 	})
--- a/internal/front/batch/pace.go
+++ b/internal/front/batch/pace.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
@@ -23,7 +24,10 @@
 
 // paces records how fast servers are. The zero value is empty.
 type paces struct {
-	// intervals contains the average time between two events of each server.
+	// effect is the effect of load on the servers' paces.
+	effect schedule.LoadEffect
+	// intervals contains the average time between two events of each server at low
+	// load.
 	intervals map[string]time.Duration
 	// seenAt contains the time of the newest sample of each server.
 	seenAt map[string]time.Time
@@ -56,8 +60,11 @@
 	return d, true
 }
 
-// observe adds a sample of the average time between two events of a server.
-func (p *paces) observe(id string, d time.Duration) {
+// observe adds a sample of the average time between two events of a server that ran
+// load items.
+func (p *paces) observe(id string, measured time.Duration, load int) {
+	p.effect.Observe(id, measured, load)
+	d := p.effect.Unloaded(measured, load)
 	if p.intervals == nil {
 		p.intervals = make(map[string]time.Duration)
 		p.seenAt = make(map[string]time.Time)
@@ -84,10 +91,12 @@
 
 // removeGone removes servers that no longer exist.
 func (p *paces) removeGone(servers *fleet.Servers) {
-	gone := func(id string) bool {
+	known := func(id string) bool {
 		_, ok := servers.Get(id)
-		return !ok
+		return ok
 	}
+	gone := func(id string) bool { return !known(id) }
+	p.effect.Retain(known)
 	maps.DeleteFunc(p.intervals, func(id string, _ time.Duration) bool { return gone(id) })
 	maps.DeleteFunc(p.seenAt, func(id string, _ time.Time) bool { return gone(id) })
 	maps.DeleteFunc(p.backoffUntil, func(id string, _ time.Time) bool { return gone(id) })
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -224,7 +224,7 @@
 		i.progress.Lineage = r.newLineage()
 	}
 	if d, ok := i.timer.observe(now); ok {
-		r.paces.observe(s.ID, schedule.UnloadedPace(d, r.serverLoad[s.ID]))
+		r.paces.observe(s.ID, d, r.serverLoad[s.ID])
 	}
 	i.started, i.progressAt = true, now
 	i.progress.After = e.ID
--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -82,7 +82,7 @@
 		}
 	}
 	r.surveyed.usable = slices.Clip(r.surveyed.usable)
-	r.surveyed.survey = schedule.NewSurvey(described)
+	r.surveyed.survey = schedule.NewSurvey(described, r.paces.effect.Factor())
 }
 
 // describeOwn describes the servers that concern this daemon: those on which it had
