Run the last items of a step again for the step in which their groups return

Cause: a step leaves out the groups with its longest items. They return in the next but one, which waits for all of them and accepts newer weights only, so that a text of 7 s was begun again at that step's start and ended it late.

Change: when only as many of a daemon's items are unfinished as its share of the groups that may be left out (control/step.InTail), they are also run on servers with the newest weights, if all waiting items have a slot. These runs are replaced when newer weights come, yield their slots when items wait, go on after the end of the job for 6 s, and are adopted by the job in which the item returns, which is assigned to the same daemon.

--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -125,7 +125,7 @@
 }
 
 func TestLongestItemsGoToLeastLoadedDaemon(t *testing.T) {
-	got := schedule.Assign([]int{10, 90, 50, 40}, []float64{1, 1})
+	got := schedule.Assign([]int{10, 90, 50, 40}, []float64{1, 1}, nil)
 	must.Eq(t, []int{0, 0, 1, 1}, got)
 }
 
--- a/internal/daemon/explain/step.go
+++ b/internal/daemon/explain/step.go
@@ -13,10 +13,12 @@
 const (
 	messageAccepted  = "job accepted"
 	messageCompleted = "item completed"
+	messageAbandoned = "item abandoned"
 	messageListed    = "results listed"
 	messageEnded     = "job ended"
 
 	groupField   = "Group"
+	sizeField    = "GroupItems"
 	stepField    = "Step"
 	desiredField = "Desired"
 	eventsField  = "Events"
@@ -63,18 +65,18 @@
 		return Step{}, err
 	}
 	s := Step{Job: job}
-	var completed []Line
+	var finished []Line
 	for _, l := range lines {
 		switch l.Message {
 		case messageAccepted:
 			if s.AcceptedAt.IsZero() {
 				s.AcceptedAt, s.Number, s.Desired = l.At, l.number(stepField), l.number(desiredField)
 			}
-		case messageCompleted:
-			completed = append(completed, l)
+		case messageCompleted, messageAbandoned:
+			finished = append(finished, l)
 		}
 	}
-	last, ok := lastDesired(completed, s.Desired)
+	last, ok := lastDesired(finished, s.Desired)
 	if s.AcceptedAt.IsZero() || !ok {
 		return Step{}, errors.Wrap(ErrNoStep, job)
 	}
@@ -108,22 +110,27 @@
 	return out, nil
 }
 
-// lastDesired returns the completion that made the desired number of groups complete.
-// A group counts as complete with the last of its items that was completed.
-func lastDesired(completed []Line, desired int) (Line, bool) {
-	lastOf := make(map[any]Line)
-	for _, l := range completed {
-		lastOf[l.Fields[groupField]] = l
-	}
-	ends := make([]Line, 0, len(lastOf))
-	for _, l := range lastOf {
-		ends = append(ends, l)
-	}
-	slices.SortFunc(ends, func(a, b Line) int { return a.At.Compare(b.At) })
-	if desired < 1 || len(ends) < desired {
-		return Line{}, false
+// lastDesired returns the line of the item that made the desired number of groups complete.
+func lastDesired(finished []Line, desired int) (Line, bool) {
+	items := make(map[any]map[any]bool)
+	complete := 0
+	for _, l := range finished {
+		group := l.Fields[groupField]
+		if items[group] == nil {
+			items[group] = make(map[any]bool)
+		}
+		if items[group][l.Fields[itemField]] {
+			continue
+		}
+		items[group][l.Fields[itemField]] = true
+		if len(items[group]) != l.number(sizeField) {
+			continue
+		}
+		if complete++; complete == desired {
+			return l, true
+		}
 	}
-	return ends[desired-1], true
+	return Line{}, false
 }
 
 // Write prints the step.
--- a/internal/daemon/explain/step_test.go
+++ b/internal/daemon/explain/step_test.go
@@ -10,18 +10,20 @@
 )
 
 const stepLog1 = `{"Level":"info","At":"2026-06-28T05:53:40Z","Message":"job accepted","Job":"j","Step":3,"Desired":2,"Items":4}
-{"Level":"info","At":"2026-06-28T05:53:41Z","Message":"item completed","Job":"j","Item":"1","Group":"a"}
-{"Level":"info","At":"2026-06-28T05:53:42Z","Message":"item completed","Job":"j","Item":"2","Group":"a"}
-{"Level":"info","At":"2026-06-28T05:53:47.9Z","Message":"item completed","Job":"j","Item":"4","Group":"c"}
+{"Level":"info","At":"2026-06-28T05:53:41Z","Message":"item abandoned","Job":"j","Item":"1","Group":"a","GroupItems":2}
+{"Level":"info","At":"2026-06-28T05:53:41.5Z","Message":"item completed","Job":"j","Item":"5","Group":"d","GroupItems":2}
+{"Level":"info","At":"2026-06-28T05:53:42Z","Message":"item completed","Job":"j","Item":"2","Group":"a","GroupItems":2}
+{"Level":"info","At":"2026-06-28T05:53:47.9Z","Message":"item completed","Job":"j","Item":"4","Group":"c","GroupItems":1}
 {"Level":"info","At":"2026-06-28T05:53:47.5Z","Message":"job ended","Job":"j"}
 `
 
-const stepLog2 = `{"Level":"info","At":"2026-06-28T05:53:47Z","Message":"item completed","Job":"j","Item":"3","Group":"b","Events":160,"Runs":2,"Server":"s1","Waited":0.5,"Starting":0.1,"Generating":6,"Stalled":0.2,"Interrupted":0.05,"Scoring":0.1}
+const stepLog2 = `{"Level":"info","At":"2026-06-28T05:53:47Z","Message":"item completed","Job":"j","Item":"3","Group":"b","GroupItems":1,"Events":160,"Runs":2,"Server":"s1","Waited":0.5,"Starting":0.1,"Generating":6,"Stalled":0.2,"Interrupted":0.05,"Scoring":0.1}
 {"Level":"info","At":"2026-06-28T05:53:47.1Z","Message":"results listed","Job":"j","Results":1}
 {"Level":"info","At":"2026-06-28T05:53:47.2Z","Message":"results listed","Job":"other","Results":1}
 `
 
-// TestAnalyzeStep covers a step that leaves out one of three groups.
+// TestAnalyzeStep covers a step of which one group is completed too late and another
+// never.
 func TestAnalyzeStep(t *testing.T) {
 	s, err := explain.AnalyzeStep("j", []explain.Log{{"vm-1", strings.NewReader(stepLog1)}, {"vm-2", strings.NewReader(stepLog2)}})
 	must.NoError(t, err)
--- a/internal/front/batch/handover.go
+++ b/internal/front/batch/handover.go
@@ -63,7 +63,7 @@
 		if p.After > 0 {
 			p.Lineage = r.newLineage()
 		}
-		j.items[i.ID] = &item{Item: i, progress: p, readyAt: time.Now()}
+		j.put(&item{Item: i, progress: p, readyAt: time.Now()})
 	}
 	j.results = append(j.results, h.Results...)
 	r.log.Info("items handed over", zap.String("Job", h.Head.ID), zap.Int("Items", added), zap.Int("Results", len(h.Results)))
--- a/internal/front/batch/handover_test.go
+++ b/internal/front/batch/handover_test.go
@@ -51,7 +51,7 @@
 	accepting, unreachable := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
 	h := Head{ID: "j", Workspace: "w", Items: []ItemHead{{ID: "1"}, {ID: "2"}}, Shards: []Shard{{Member: "a"}}}
 	j := from.add(h)
-	j.items["1"] = &item{Item: Item{ID: "1", Body: []byte("x")}, progress: Progress{Lineage: "a-1", After: 2, Data: []string{"p", "q"}}}
+	j.put(&item{Item: Item{ID: "1", Body: []byte("x")}, progress: Progress{Lineage: "a-1", After: 2, Data: []string{"p", "q"}}})
 	j.results = []Result{{ID: "2", State: Completed, Text: "t"}}
 	handOvers := from.handOvers(&fleet.Members{List: []fleet.Member{{ID: "b", Address: accepting}}})
 	must.MapLen(t, 1, handOvers)
--- a/internal/front/batch/lineage_test.go
+++ b/internal/front/batch/lineage_test.go
@@ -17,7 +17,7 @@
 func addEvent(t *rapid.T, r *Runner, j *job) {
 	i := j.items["1"]
 	e := sse.Event{ID: i.progress.After + 1, Data: r.self}
-	must.NoError(t, r.addEvent(j, i, backend.Server{ID: "s"}, e, 1))
+	must.NoError(t, r.addEvent(i, backend.Server{ID: "s"}, e, 1))
 }
 
 // takeOver returns a new daemon that has taken over item 1 of job j from the
@@ -27,7 +27,7 @@
 	checkpoints, err := r.ledger.checkpoints(t.Context(), "j")
 	must.NoError(t, err)
 	j := r.add(Head{ID: "j", Items: []ItemHead{{ID: "1"}}, Shards: []Shard{{Member: "a"}}})
-	j.addItems([]Item{{ID: "1"}}, nil, checkpoints)
+	r.addItems(j, []Item{{ID: "1"}}, nil, checkpoints)
 	return r, j
 }
 
--- a/internal/front/batch/openjob.go
+++ b/internal/front/batch/openjob.go
@@ -19,6 +19,13 @@
 	items map[string]*item
 	// loading is set while load reads items from the store.
 	loading bool
+	// returning is set on the copy of a job that items have while they may return in
+	// a later one; it holds nothing but the head.
+	returning bool
+	// returned contains the groups that an earlier job left out, and leftOutShare is
+	// the fraction of the groups that the trainer does not wait for.
+	returned     map[string]bool
+	leftOutShare float64
 	// isNew is set if the job was younger than newJobAge when this daemon added it.
 	isNew bool
 	// results are waiting to be written; writing is set while writeResults runs.
@@ -34,16 +41,17 @@
 type item struct {
 	Item
 
+	// job is the job that the item belongs to.
+	job      *job
 	progress Progress
 	// checkpointed is the last event that a stored checkpoint contains, and
 	// checkpointedEnd describes the checkpoint of the complete text.
 	checkpointed    int
 	checkpointedEnd checkpointedEnd
-	// lastServer, runs and waited (the total waiting time) are logged with the
-	// item's outcome.
+	// lastServer, runs and spent are logged with the item's outcome.
 	lastServer string
 	runs       int
-	waited     time.Duration
+	spent      spent
 	// readyAt is when the item began to wait.
 	readyAt time.Time
 	// notBefore is the earliest time of the next run; zero sets no limit.
@@ -68,6 +76,17 @@
 	reward rewardCall
 	score  string
 	done   bool
+	// keepUntil is until when an item without a job is kept for a later one; zero while
+	// its job is open.
+	keepUntil time.Time
+	// finishedAt is, for a rerun, when the text was completed in the open job.
+	finishedAt time.Time
+}
+
+// put adds an item to the job.
+func (j *job) put(i *item) {
+	i.job = j
+	j.items[i.ID] = i
 }
 
 // stopAll cancels the item's run and its reward call.
@@ -90,7 +109,7 @@
 	j := r.add(h)
 	for s, items := range shards {
 		if h.Shards[s].Member == r.self {
-			j.addItems(items, nil, nil)
+			r.addItems(j, items, nil, nil)
 		}
 	}
 	r.mutex.Unlock()
@@ -102,7 +121,7 @@
 func (r *Runner) add(h Head) *job {
 	j, ok := r.jobs[h.ID]
 	if !ok {
-		j = &job{head: h, items: make(map[string]*item)}
+		j = &job{head: h, items: make(map[string]*item), returned: r.knownGroups(h), leftOutShare: h.groups().LeftOutShare()}
 		now, _ := r.fleet.Clock.Now()
 		j.isNew = now.UnixMilli()-h.SubmittedAt < newJobAge.Milliseconds()
 		r.jobs[h.ID] = j
@@ -119,15 +138,19 @@
 		return
 	}
 	j.ended, j.endedAt = true, time.Now()
-	stopped := 0
+	stopped, kept := 0, 0
 	for _, i := range j.items {
+		if r.keepForReturn(i, j.endedAt) {
+			kept++
+			continue
+		}
 		if i.stop != nil {
 			stopped++
 		}
 		i.stopAll()
 	}
 	j.items = nil
-	r.log.Info("job ended, its running items stopped", zap.String("Job", id), zap.Int("Stopped", stopped))
+	r.log.Info("job ended, its running items stopped", zap.String("Job", id), zap.Int("Stopped", stopped), zap.Int("Kept", kept))
 }
 
 // head returns the head of a known job.
--- a/internal/front/batch/ownership.go
+++ b/internal/front/batch/ownership.go
@@ -147,7 +147,7 @@
 			own = append(own, i)
 		}
 	}
-	j.addItems(own, done, checkpoints)
+	r.addItems(j, own, done, checkpoints)
 	if done != nil {
 		r.log.Info("items taken over", zap.String("Job", j.head.ID), zap.Int("Items", len(own)), zap.Int("Done", len(done)))
 	}
@@ -156,11 +156,19 @@
 // addItems adds items that belong to this daemon, with the texts from the
 // checkpoints of other daemons. Those daemons may still be running them, so
 // this daemon writes its checkpoints under a new lineage, which contains the
-// text from its beginning.
-func (j *job) addItems(items []Item, done map[string]bool, checkpoints map[string][]Checkpoint) {
+// text from its beginning. An item that this daemon has kept from an earlier job
+// continues. It is called with the mutex held.
+func (r *Runner) addItems(j *job, items []Item, done map[string]bool, checkpoints map[string][]Checkpoint) {
 	for _, i := range items {
 		p := join(checkpoints[i.ID])
 		p.Lineage = ""
-		j.items[i.ID] = &item{Item: i, progress: p, done: done[i.ID], readyAt: time.Now()}
+		if kept := r.adopt(j, i, p, done[i.ID]); kept != nil {
+			j.put(kept)
+			if kept.progress.Complete {
+				r.completeText(kept)
+			}
+			continue
+		}
+		j.put(&item{Item: i, progress: p, done: done[i.ID], readyAt: time.Now()})
 	}
 }
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -32,10 +32,10 @@
 			if i.done || i.stop != nil || i.progress.Complete {
 				continue
 			}
-			if w := r.toScheduleItem(j, i); w.Service != "" {
+			if w := r.toScheduleItem(i); w.Service != "" {
 				out = append(out, w)
 			} else if r.fleet.Config() != nil {
-				r.finish(j, i, Abandoned, refusal.ReasonNoRoute)
+				r.finish(i, Abandoned, refusal.ReasonNoRoute)
 			}
 		}
 	}
@@ -43,13 +43,13 @@
 }
 
 // toScheduleItem describes an item to the scheduler.
-func (r *Runner) toScheduleItem(j *job, i *item) schedule.Item {
+func (r *Runner) toScheduleItem(i *item) schedule.Item {
 	w := schedule.Item{
-		ID: i.ID, Group: i.Group, Model: j.head.Model, MinVersion: j.head.MinVersion,
-		DueAt: r.localTime(j.head.DueAt), NotBefore: i.notBefore, Avoid: i.avoid,
+		ID: i.ID, Group: i.Group, Model: i.job.head.Model, MinVersion: i.job.head.MinVersion,
+		DueAt: r.localTime(i.job.head.DueAt), NotBefore: i.notBefore, Avoid: i.avoid,
 		Remaining: r.remaining(i), ReadyAt: i.readyAt,
 	}
-	if target, ok := r.route(j, i); ok {
+	if target, ok := r.route(i); ok {
 		w.Service = target.Service(i.ID)
 	}
 	return w
@@ -97,7 +97,7 @@
 			byID[i.ID] = i
 			s, known := r.fleet.Servers().Get(i.server)
 			running = append(running, schedule.Running{
-				Item: r.toScheduleItem(j, i), Server: i.server, SentAt: i.sentAt, ProgressAt: i.progressAt, Started: i.started,
+				Item: r.toScheduleItem(i), Server: i.server, SentAt: i.sentAt, ProgressAt: i.progressAt, Started: i.started,
 				Leaving: known && s.Draining,
 			})
 		}
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	base "github.com/lacewingtally/lacewingtally/internal/base/fleet"
@@ -16,10 +14,8 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/reward"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
-	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
-	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 )
 
 const (
@@ -57,7 +53,6 @@
 // rewardOwner is an item that awaits its score, with its job and the route of its
 // reward call.
 type rewardOwner struct {
-	job   *job
 	item  *item
 	route route.Route
 }
@@ -85,14 +80,21 @@
 
 // completeText records that an item's text is complete. An item without a reward
 // call is done; otherwise the call is sent next. It is called with the mutex held.
-func (r *Runner) completeText(j *job, i *item) {
+func (r *Runner) completeText(i *item) {
+	if i.job.returning {
+		i.progress.Complete = true
+		return
+	}
+	if rerun := r.returning[i.ID]; rerun != nil {
+		rerun.finishedAt = time.Now()
+	}
 	if i.Reward == nil {
-		r.finish(j, i, Completed, "")
+		r.finish(i, Completed, "")
 		return
 	}
 	i.progress.Complete = true
 	i.readyAt = time.Now()
-	r.log.Info("item awaits its score", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", i.lastServer),
+	r.log.Info("item awaits its score", zap.String("Job", i.job.head.ID), zap.String("Item", i.ID), zap.String("Server", i.lastServer),
 		zap.String("Reward", i.Reward.ID), zap.Int("Events", i.progress.After))
 }
 
@@ -116,8 +118,8 @@
 			if !ok {
 				continue
 			}
-			c := r.toRewardCall(j, i, target)
-			owners[c.ID] = rewardOwner{job: j, item: i, route: target}
+			c := r.toRewardCall(i, target)
+			owners[c.ID] = rewardOwner{item: i, route: target}
 			calls = append(calls, c)
 		}
 	}
@@ -134,7 +136,8 @@
 
 // toRewardCall describes an item's reward call to the decision. The same item may
 // be in two open jobs.
-func (r *Runner) toRewardCall(j *job, i *item, target route.Route) reward.Call {
+func (r *Runner) toRewardCall(i *item, target route.Route) reward.Call {
+	j := i.job
 	c := reward.Call{
 		ID: j.head.ID + "/" + i.ID, Service: target.Service(i.Reward.ID), DueAt: r.localTime(j.head.DueAt), Group: j.groupPosition(i.Group),
 		Objective: target.Objective, NotBefore: i.reward.notBefore, SentAt: i.reward.sentAt,
@@ -154,6 +157,17 @@
 	return slices.IndexFunc(j.head.Items, func(h ItemHead) bool { return h.Group == group })
 }
 
+// groupSize returns the number of items of a group.
+func (j *job) groupSize(group string) int {
+	n := 0
+	for _, h := range j.head.Items {
+		if h.Group == group {
+			n++
+		}
+	}
+	return n
+}
+
 // rewardServers returns the servers to which calls may be sent, with their load as
 // this daemon knows it.
 func (r *Runner) rewardServers(calls []reward.Call) []reward.Server {
@@ -190,7 +204,7 @@
 	p := quarantine.FingerprintOf(base.Workspace(""), req.Method, req.Target, string(req.Body))
 	if r.suspects.Quarantined(p) {
 		i.reward.notBefore = now.Add(quarantineDelay)
-		r.log.Warn("reward call in quarantine", zap.String("Job", o.job.head.ID), zap.String("Item", i.ID),
+		r.log.Warn("reward call in quarantine", zap.String("Job", o.item.job.head.ID), zap.String("Item", i.ID),
 			zap.String("Reward", req.ID), zap.String("Reason", string(refusal.ReasonQuarantine)))
 		return
 	}
@@ -219,85 +233,3 @@
 		ID: c.ID, Method: http.MethodPost, Target: c.Target, Host: c.Host, Body: c.Body, Deadline: now.Add(timeout),
 	}
 }
-
-// runReward sends a reward call to a server and records the outcome.
-func (r *Runner) runReward(ctx context.Context, o rewardOwner, s backend.Server, req backend.Request, p quarantine.Fingerprint) {
-	defer r.work.Done()
-	begunAt := time.Now()
-	out := r.attemptReward(ctx, s, req)
-	took := time.Since(begunAt)
-	// A call that was cancelled tells nothing about the server.
-	cancelled := errors.Is(ctx.Err(), context.Canceled) && out.err != nil
-	ended := ctx.Err() != nil
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	i := o.item
-	if stop, ok := i.reward.stops[s.ID]; ok {
-		stop()
-		delete(i.reward.stops, s.ID)
-	}
-	r.balancer.Done(s.ID, took, out.load, !cancelled && (out.err != nil || out.notRun))
-	if cancelled || i.done || o.job.ended {
-		return
-	}
-	r.metrics.Attempt(metrics.KindReward, metrics.Outcome(out.status, out.notRun, out.err), s.Address.String(), took)
-	if errors.Is(out.err, backend.ErrIncomplete) && !ended {
-		r.suspects.Suspect(p)
-	}
-	r.handleReward(o, s, out, took)
-	r.trigger()
-}
-
-// attemptReward sends a reward call to a server and reads the complete response.
-func (r *Runner) attemptReward(ctx context.Context, s backend.Server, req backend.Request) rewardOutcome {
-	resp, err := r.client.Do(ctx, s, req)
-	if err != nil {
-		return rewardOutcome{err: err}
-	}
-	defer resp.Body.Close()
-	o := rewardOutcome{status: resp.Status, notRun: resp.NotRun, stamp: resp.Stamp, load: resp.Load}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRewardBytes)); err != nil {
-		o.err = errors.Wrap(backend.ErrIncomplete, err.Error())
-	}
-	return o
-}
-
-// handleReward records the score of an item, or prepares its reward call for
-// another attempt. An item is abandoned only after servers failed the call as often
-// as its route allows. It is called with the mutex held.
-func (r *Runner) handleReward(o rewardOwner, s backend.Server, out rewardOutcome, took time.Duration) {
-	i := o.item
-	if out.scored() {
-		r.log.Info("item scored", zap.String("Job", o.job.head.ID), zap.String("Item", i.ID), zap.String("Reward", i.Reward.ID),
-			zap.String("Server", s.ID), zap.Duration("Took", took), zap.Duration("Waited", time.Since(i.readyAt)))
-		i.score = out.stamp
-		r.finish(o.job, i, Completed, "")
-		return
-	}
-	i.reward.avoid = s.ID
-	r.log.Info("reward call failed", zap.String("Job", o.job.head.ID), zap.String("Item", i.ID), zap.String("Reward", i.Reward.ID),
-		zap.String("Server", s.ID), zap.Int("Status", out.status), zap.Bool("NotRun", out.notRun),
-		zap.Int("Failures", i.progress.RewardFailures.Runs), zap.Int("Unanswered", i.reward.unanswered), zap.Error(out.err))
-	if out.err == nil && out.status == http.StatusInternalServerError {
-		r.recordRewardFailure(o, s)
-		return
-	}
-	i.reward.unanswered++
-	i.reward.notBefore = time.Now().Add(schedule.Backoff(i.reward.unanswered))
-}
-
-// recordRewardFailure counts a failed reward call, and abandons the item if it was
-// the last one allowed. The count is written with the text, under a lineage of
-// this daemon. It is called with the mutex held.
-func (r *Runner) recordRewardFailure(o rewardOwner, s backend.Server) {
-	i := o.item
-	f := &i.progress.RewardFailures
-	f.Add(s.ID)
-	i.reward.notBefore = time.Now().Add(f.Backoff())
-	if i.progress.Lineage == "" {
-		i.progress.Lineage = r.newLineage()
-	}
-	if f.Final(max(o.route.MaxServers, r.maxServers(o.job, i))) {
-		r.finish(o.job, i, Abandoned, refusal.ReasonServer)
-	}
-}
--- a/internal/front/batch/reward_test.go
+++ b/internal/front/batch/reward_test.go
@@ -18,11 +18,11 @@
 func completeItem(s store.Store, self string) (*Runner, *job) {
 	r := newRunner(s, self)
 	j := r.add(Head{ID: "j", Items: []ItemHead{{ID: "1"}}, Shards: []Shard{{Member: self}}})
-	j.items["1"] = &item{
+	j.put(&item{
 		Item:     Item{ID: "1", Reward: &Reward{ID: "score"}},
 		progress: Progress{Lineage: self + "-1", After: 2, Data: []string{"p", "q"}, Weights: []int{1}},
-	}
-	r.completeText(j, j.items["1"])
+	})
+	r.completeText(j.items["1"])
 	return r, j
 }
 
@@ -52,7 +52,7 @@
 	must.SliceEmpty(t, p.Failures.Servers)
 	next := newRunner(m, "b")
 	k := next.add(j.head)
-	k.addItems([]Item{j.items["1"].Item}, nil, checkpoints)
+	next.addItems(k, []Item{j.items["1"].Item}, nil, checkpoints)
 	must.True(t, k.items["1"].awaitsScore())
 	must.SliceEmpty(t, next.waiting())
 }
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -18,7 +17,6 @@
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
-	"github.com/lacewingtally/lacewingtally/internal/front/sse"
 )
 
 const (
@@ -33,6 +31,8 @@
 	// itemPriority is the priority of items. It ranks below live requests, whose
 	// default is 5.
 	itemPriority = 7
+	// rerunPriority is the priority of runs for a later step.
+	rerunPriority = 9
 	// itemTimeout limits one run of an item.
 	itemTimeout = 60 * time.Second
 )
@@ -45,7 +45,7 @@
 // of the weights although its route forbids it. The item starts over.
 var errWeightsChanged = errors.New("batch: weights changed")
 
-// start runs an item on a server. It is called with the mutex held.
+// start runs a waiting item on a server. It is called with the mutex held.
 func (r *Runner) start(ctx context.Context, p schedule.Placement) {
 	s, ok := r.fleet.Servers().Get(p.Server)
 	if !ok {
@@ -56,23 +56,28 @@
 		if i == nil || i.stop != nil || i.done || i.progress.Complete {
 			continue
 		}
-		c, cancel := context.WithCancel(ctx)
-		i.stop, i.server, i.started, i.moving, i.timer = cancel, s.ID, false, false, paceTimer{}
-		i.lastServer = s.ID
-		i.runs++
-		i.waited += time.Since(i.readyAt)
-		i.sentAt, i.progressAt = time.Now(), time.Now()
-		r.work.Add(1)
-		go r.run(c, j, i, s)
+		r.startOn(ctx, i, s)
 		return
 	}
 }
 
+// startOn starts a run of an item on a server. It is called with the mutex held.
+func (r *Runner) startOn(ctx context.Context, i *item, s backend.Server) {
+	c, cancel := context.WithCancel(ctx)
+	i.stop, i.server, i.started, i.moving, i.timer = cancel, s.ID, false, false, paceTimer{}
+	i.lastServer = s.ID
+	i.runs++
+	i.spent.waiting += time.Since(i.readyAt)
+	i.sentAt, i.progressAt = time.Now(), time.Now()
+	r.work.Add(1)
+	go r.run(c, i, s)
+}
+
 // run runs an item until it is done, fails or is stopped.
-func (r *Runner) run(ctx context.Context, j *job, i *item, s backend.Server) {
+func (r *Runner) run(ctx context.Context, i *item, s backend.Server) {
 	defer r.work.Done()
 	begunAt := time.Now()
-	status, err := r.attempt(ctx, j, i, s)
+	status, err := r.attempt(ctx, i, s)
 	stopped := ctx.Err() != nil
 	if !stopped {
 		outcome := metrics.Outcome(status, status == http.StatusServiceUnavailable, err)
@@ -82,16 +87,19 @@
 	defer r.mutex.Unlock()
 	i.stop()
 	i.stop, i.server, i.readyAt = nil, "", time.Now()
-	if j.ended || i.done {
+	if err != nil || status != http.StatusOK {
+		i.spent.interrupted += i.readyAt.Sub(i.progressAt)
+	}
+	if i.job.ended || i.done {
 		return
 	}
-	r.handleOutcome(j, i, s, status, err, stopped)
+	r.handleOutcome(i, s, status, err, stopped)
 	r.trigger()
 }
 
 // handleOutcome finishes an item or prepares it for another run, depending on
 // the outcome of the last one. It is called with the mutex held.
-func (r *Runner) handleOutcome(j *job, i *item, s backend.Server, status int, err error, stopped bool) {
+func (r *Runner) handleOutcome(i *item, s backend.Server, status int, err error, stopped bool) {
 	now := time.Now()
 	switch {
 	case stopped:
@@ -108,17 +116,17 @@
 			i.notBefore = now.Add(refusedItemBackoff)
 		}
 	case status == http.StatusOK:
-		r.completeText(j, i)
+		r.completeText(i)
 		return
 	case status == http.StatusUnprocessableEntity:
-		r.finish(j, i, Abandoned, refusal.ReasonServer)
+		r.finish(i, Abandoned, refusal.ReasonServer)
 		return
 	case status == http.StatusInternalServerError:
 		i.progress.Failures.Add(s.ID)
 		i.avoid = s.ID
 		i.notBefore = now.Add(i.progress.Failures.Backoff())
-		if i.progress.Failures.Final(r.maxServers(j, i)) {
-			r.finish(j, i, Abandoned, refusal.ReasonServer)
+		if i.progress.Failures.Final(r.maxServers(i)) {
+			r.finish(i, Abandoned, refusal.ReasonServer)
 			return
 		}
 	default:
@@ -126,26 +134,32 @@
 		r.paces.backOff(s.ID, refusedServerBackoff)
 		i.avoid = s.ID
 	}
-	r.log.Info("item will be retried", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", s.ID),
+	r.log.Info("item will be retried", zap.String("Job", i.job.head.ID), zap.String("Item", i.ID), zap.String("Server", s.ID),
 		zap.Int("Status", status), zap.Int("After", i.progress.After), zap.Error(err))
 }
 
 // finish stops an item and records its result; reason is empty if the item is
 // completed. It is called with the mutex held.
-func (r *Runner) finish(j *job, i *item, s State, reason refusal.Reason) {
+func (r *Runner) finish(i *item, s State, reason refusal.Reason) {
+	j := i.job
 	i.done = true
 	i.stopAll()
+	if j.returning {
+		r.dropReturning(i.ID)
+		return
+	}
 	result := Result{ID: i.ID, State: s}
 	if s == Completed {
-		r.log.Info("item completed", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Server", i.lastServer),
-			zap.Int("Events", i.progress.After), zap.Int("Runs", i.runs), zap.Int("Tokens", i.Tokens),
-			zap.Duration("Waited", i.waited), zap.Ints("Weights", i.progress.Weights))
+		r.log.Info("item completed", append(i.spent.fields(), zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Group", i.Group), zap.Int("GroupItems", j.groupSize(i.Group)),
+			zap.String("Server", i.lastServer), zap.Int("Events", i.progress.After), zap.Int("Runs", i.runs), zap.Int("Tokens", i.Tokens),
+			zap.Ints("Weights", i.progress.Weights))...)
+		i.spent.record(r.metrics)
 		result.Text = strings.Join(i.progress.Data, "\n")
 		result.Weights = i.progress.Weights
 		result.Score = i.score
 	} else {
-		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Reason", string(reason)),
-			zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures.Runs), zap.Strings("FailedOn", i.progress.Failures.Servers))
+		r.log.Warn("item abandoned", zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Group", i.Group),
+			zap.Int("GroupItems", j.groupSize(i.Group)), zap.String("Reason", string(reason)), zap.String("Server", i.lastServer), zap.Int("Runs", i.runs), zap.Int("Failures", i.progress.Failures.Runs), zap.Strings("FailedOn", i.progress.Failures.Servers))
 	}
 	i.progress.Data = nil
 	i.Body, i.Reward = nil, nil
@@ -153,13 +167,17 @@
 }
 
 // attempt sends an item to a server and reads its events.
-func (r *Runner) attempt(ctx context.Context, j *job, i *item, s backend.Server) (int, error) {
+func (r *Runner) attempt(ctx context.Context, i *item, s backend.Server) (int, error) {
 	r.mutex.Lock()
+	head := i.job.head
 	req := backend.Request{
-		ID: i.ID, Method: http.MethodPost, Target: i.Target, Host: j.head.Host, Body: i.Body,
-		Header: headerOf(i.Header), Deadline: time.Now().Add(itemTimeout), Workspace: j.head.Workspace,
+		ID: i.ID, Method: http.MethodPost, Target: i.Target, Host: head.Host, Body: i.Body,
+		Header: headerOf(i.Header), Deadline: time.Now().Add(itemTimeout), Workspace: head.Workspace,
 		Priority: itemPriority, HasPriority: true, ResumeAfter: i.progress.After,
 	}
+	if i.job.returning {
+		req.Priority = rerunPriority
+	}
 	r.mutex.Unlock()
 	resp, err := r.client.Do(ctx, s, req)
 	if err != nil {
@@ -167,7 +185,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.Weights > 0 {
-		r.fleet.RecordLoaded(s.Incarnation(), j.head.Model, resp.Weights)
+		r.fleet.RecordLoaded(s.Incarnation(), head.Model, resp.Weights)
 	}
 	if resp.Status != http.StatusOK || resp.NotRun {
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil {
@@ -175,99 +193,24 @@
 		}
 		return resp.Status, nil
 	}
-	if resp.Weights < j.head.MinVersion {
+	if resp.Weights < head.MinVersion {
 		return resp.Status, errors.Wrapf(errOldWeights, "version %d", resp.Weights)
 	}
-	return resp.Status, r.readEvents(j, i, s, resp)
+	return resp.Status, r.readEvents(i, head.Model, s, resp)
 }
 
 // maxDiscardBytes limits how much of an unused response body is read.
 const maxDiscardBytes = 64 << 10
 
-// readEvents adds the events of a response to an item until the response ends.
-func (r *Runner) readEvents(j *job, i *item, s backend.Server, resp *backend.Response) error {
-	events := sse.NewReader(resp.Body)
-	weights := resp.Weights
-	for {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(backend.ErrIncomplete, err.Error())
-		}
-		if v, ok := resp.NewWeights(e.Fields); ok {
-			weights = v
-			r.fleet.RecordLoaded(s.Incarnation(), j.head.Model, v)
-		}
-		if err := r.addEvent(j, i, s, e, weights); err != nil {
-			return err
-		}
-	}
-}
-
-// addEvent adds an event to an item's progress. Its error is errWeightsChanged if
-// that would mix versions of the weights; the progress is then discarded.
-func (r *Runner) addEvent(j *job, i *item, s backend.Server, e sse.Event, weights int) error {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if e.ID != i.progress.After+1 {
-		return errors.Wrapf(backend.ErrIncomplete, "event %d after %d", e.ID, i.progress.After)
-	}
-	if r.mixesVersions(j, i, weights) {
-		i.progress = Progress{Failures: i.progress.Failures, RewardFailures: i.progress.RewardFailures}
-		i.checkpointed = 0
-		return errors.Wrapf(errWeightsChanged, "version %d", weights)
-	}
-	now := time.Now()
-	if i.progress.Lineage == "" {
-		i.progress.Lineage = r.newLineage()
-	}
-	if d, ok := i.timer.observe(now); ok {
-		r.paces.observe(s.ID, d, r.serverLoad[s.ID])
-	}
-	i.started, i.progressAt = true, now
-	i.progress.After = e.ID
-	i.progress.Data = append(i.progress.Data, e.Data)
-	i.progress.Weights = union(i.progress.Weights, []int{weights})
-	return nil
-}
-
-// newLineage returns a new lineage, for a text that this daemon begins or
-// continues.
-// It is called with the mutex held.
-func (r *Runner) newLineage() string {
-	r.lineageCount++
-	return r.self + "-" + strconv.Itoa(r.lineageCount)
-}
-
-// newBodySet returns a new, unique name for the bodies of a job.
-func (r *Runner) newBodySet() string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.bodySetCount++
-	return r.self + "-" + strconv.Itoa(r.bodySetCount)
-}
-
-// mixesVersions reports whether an event would add a second version of the
-// weights to a result that may have only one.
-func (r *Runner) mixesVersions(j *job, i *item, weights int) bool {
-	if len(i.progress.Weights) == 0 || slices.Contains(i.progress.Weights, weights) {
-		return false
-	}
-	target, ok := r.route(j, i)
-	return ok && target.SingleVersion
-}
-
 // route returns the route of an item by the configuration in effect.
-func (r *Runner) route(j *job, i *item) (route.Route, bool) {
-	return r.fleet.Config().Route(j.head.Host, path(i.Target))
+func (r *Runner) route(i *item) (route.Route, bool) {
+	return r.fleet.Config().Route(i.job.head.Host, path(i.Target))
 }
 
 // maxServers returns the maximum number of servers on which an item may fail; it
 // is 1 if the item has no route.
-func (r *Runner) maxServers(j *job, i *item) int {
-	if target, ok := r.route(j, i); ok {
+func (r *Runner) maxServers(i *item) int {
+	if target, ok := r.route(i); ok {
 		return target.MaxServers
 	}
 	return 1
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -58,6 +58,9 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	jobs  map[string]*job
+	// returning are the items that may return in a later job, with the runs and texts
+	// for it, by ID.
+	returning map[string]*item
 	// leaving is set when no more items are to be started.
 	leaving bool
 	paces   paces
@@ -85,7 +88,7 @@
 ) *Runner {
 	return &Runner{
 		balancer: b, client: c, fleet: f, ledger: l, log: log, metrics: m, self: self, suspects: s,
-		wake: make(chan struct{}, 1), jobs: make(map[string]*job),
+		wake: make(chan struct{}, 1), jobs: make(map[string]*job), returning: make(map[string]*item),
 	}
 }
 
@@ -128,6 +131,9 @@
 			i.stopAll()
 		}
 	}
+	for id := range r.returning {
+		r.dropReturning(id)
+	}
 	r.mutex.Unlock()
 	r.work.Wait()
 	b, cancel := context.WithDeadline(ctx, storeUntil)
@@ -164,12 +170,20 @@
 	r.mutex.Lock()
 	r.removeStale(now)
 	r.abandonExpired()
+	r.checkReturning(now)
 	if !r.leaving && r.hasOpenItems() {
 		survey, servers := r.servers()
 		r.moveItems(now, survey, servers)
-		for _, p := range survey.Place(now, r.waiting(), servers) {
+		waiting := r.waiting()
+		placements := survey.Place(now, waiting, servers)
+		for _, p := range placements {
 			r.start(ctx, p)
 		}
+		if len(placements) == len(waiting) {
+			r.startReruns(ctx, now, survey, servers)
+		} else {
+			r.yieldReruns()
+		}
 		r.sendRewards(ctx, now)
 	}
 	r.mutex.Unlock()
@@ -211,7 +225,7 @@
 		}
 		for _, i := range j.items {
 			if !i.done {
-				r.finish(j, i, Abandoned, refusal.ReasonDeadline)
+				r.finish(i, Abandoned, refusal.ReasonDeadline)
 			}
 		}
 	}
--- a/internal/front/batch/service.go
+++ b/internal/front/batch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,7 +67,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptLimit)
 	defer cancel()
-	h, shards := assignItems(j, now, s.runner.runners())
+	h, shards := assignItems(j, now, s.runner.runners(), s.runner.previousOwners(j))
 	bodySet := s.runner.newBodySet()
 	mayBeWritten := false
 	for range acceptAttempts {
@@ -74,7 +75,7 @@
 		switch {
 		case err == nil:
 			s.log.Info("job accepted", zap.String("Job", j.ID), zap.String("Workspace", j.Workspace),
-				zap.Int("Step", j.Step), zap.Int("MinVersion", j.MinVersion), zap.Int("Items", len(j.Items)))
+				zap.Int("Step", j.Step), zap.Int("MinVersion", j.MinVersion), zap.Int("Items", len(j.Items)), zap.Int("Desired", j.Desired))
 			s.runner.addAccepted(written, shards)
 			return nil
 		case errors.Is(err, store.ErrConflict):
@@ -233,8 +234,9 @@
 	return refusal.NotRun(refusal.ReasonStore, time.Now().Add(storeRetryDelay), cause)
 }
 
-// assignItems builds a job's head, and assigns each item to a daemon.
-func assignItems(j Submission, now time.Time, members []fleet.Member) (Head, [][]Item) {
+// assignItems builds a job's head, and assigns each item to a daemon: that of
+// previousOwners, by item, if it is a member.
+func assignItems(j Submission, now time.Time, members []fleet.Member, previousOwners map[string]string) (Head, [][]Item) {
 	h := Head{
 		ID: j.ID, Workspace: j.Workspace, Host: j.Host, Model: j.Model, Step: j.Step,
 		MinVersion: j.MinVersion, Desired: j.Desired, SubmittedAt: now.UnixMilli(),
@@ -251,8 +253,13 @@
 	for i, m := range members {
 		weights[i] = max(m.Share, minCoreShare)
 	}
+	fixed := make([]int, len(j.Items))
+	for i, t := range j.Items {
+		owner, ok := previousOwners[t.ID]
+		fixed[i] = slices.IndexFunc(members, func(m fleet.Member) bool { return ok && m.ID == owner })
+	}
 	shards := make([][]Item, len(members))
-	for i, d := range schedule.Assign(lengths, weights) {
+	for i, d := range schedule.Assign(lengths, weights, fixed) {
 		t := j.Items[i]
 		h.Items = append(h.Items, ItemHead{ID: t.ID, Group: t.Group, Tokens: t.Tokens, Limit: t.Limit, Shard: d})
 		shards[d] = append(shards[d], t)
--- a/internal/front/batch/size_test.go
+++ b/internal/front/batch/size_test.go
@@ -63,7 +63,7 @@
 			for n := range 30 {
 				id := fmt.Sprint(n)
 				now := time.Now().Add(time.Hour)
-				j.items[id] = &item{Item: Item{ID: id, Tokens: 500}, server: fmt.Sprintf("i-%04d", n), stop: func() {}, sentAt: now.Add(-2 * time.Hour), progressAt: now, started: true}
+				j.put(&item{Item: Item{ID: id, Tokens: 500}, server: fmt.Sprintf("i-%04d", n), stop: func() {}, sentAt: now.Add(-2 * time.Hour), progressAt: now, started: true})
 			}
 			b.ResetTimer()
 			for b.Loop() {
--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -248,12 +248,16 @@
 
 func (r *Runner) running() map[string]int {
 	out := make(map[string]int)
-	for _, j := range r.jobs {
-		for _, i := range j.items {
+	count := func(items map[string]*item) {
+		for _, i := range items {
 			if i.server != "" {
 				out[i.server]++
 			}
 		}
 	}
+	for _, j := range r.jobs {
+		count(j.items)
+	}
+	count(r.returning)
 	return out
 }
