Give an item more time each time it was stopped for an unresponsive server

Cause: an item is stopped after 350 ms without an event. On engines that take longer from event to event, sound runs were stopped at each event, again and again, if other servers had free slots. (Found by looking for what operators reported: slow but sound streams cut.)

Change: the timeout of an item doubles with each such stop, up to 32 times.

Before: TestSlowEnginesAreNotUnresponsive, 20 stops in 20 events of 2 s.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -8,6 +8,8 @@
 	firstEventTimeout = 700 * time.Millisecond
 	// eventTimeout is how long a server may take between two events.
 	eventTimeout = 350 * time.Millisecond
+	// maxStallDoublings limits how often the timeouts of an item are doubled.
+	maxStallDoublings = 5
 	// minRunTime is how long an item stays on a server before it may be moved
 	// only because another server is faster.
 	minRunTime = time.Second
@@ -29,6 +31,9 @@
 	Leaving bool
 	// Started is whether an event has arrived from this server.
 	Started bool
+	// Stalls is the number of times that the item was stopped because its server
+	// counted as unresponsive.
+	Stalls int
 }
 
 // Move is Survey.Move, given that there are no other servers.
@@ -57,13 +62,14 @@
 }
 
 // Unresponsive reports whether the item has received no event for longer than the
-// timeout.
+// timeout. The timeout doubles each time that the item is stopped for it: on engines
+// that are slower than it allows, stopping the item again and again would not help.
 func (r Running) Unresponsive(now time.Time) bool {
 	timeout := firstEventTimeout
 	if r.Started {
 		timeout = eventTimeout
 	}
-	return now.Sub(r.ProgressAt) > timeout
+	return now.Sub(r.ProgressAt) > timeout<<min(r.Stalls, maxStallDoublings)
 }
 
 // finishesSooner reports whether moving an item to a server finishes it sooner by
--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -137,6 +137,22 @@
 	must.Len(t, 0, schedule.Move(start.Add(100*time.Millisecond), []schedule.Running{r}, []schedule.Server{server("unresponsive", 3, 1), server("b", 1, 1)}))
 }
 
+// TestSlowEnginesAreNotUnresponsive runs items on engines that take two seconds from
+// event to event, several times the timeout. An item may be stopped a few times until
+// that is known, and not at each event.
+func TestSlowEnginesAreNotUnresponsive(t *testing.T) {
+	const interval = 2 * time.Second
+	r := schedule.Running{Item: item("x", 1000, time.Second), Server: "a", ProgressAt: start, Started: true}
+	for range 20 {
+		if len(schedule.Move(start.Add(interval), []schedule.Running{r}, []schedule.Server{server("a", 3, 1), server("b", 1, 1)})) > 0 {
+			r.Stalls++
+		}
+	}
+	must.Between(t, 1, r.Stalls, 3)
+	// A stalled server is still recognized.
+	must.True(t, r.Unresponsive(start.Add(time.Minute)))
+}
+
 func TestMoveFromSlowServerIfSooner(t *testing.T) {
 	slow, fast := server("slow", 0, 1), server("fast", 1, 1)
 	slow.Pace, fast.Pace = 3*time.Millisecond, time.Millisecond
--- a/internal/front/batch/openjob.go
+++ b/internal/front/batch/openjob.go
@@ -70,6 +70,9 @@
 	started bool
 	// moving is set after the run was stopped to resume it elsewhere.
 	moving bool
+	// stalls is the number of times that the item was stopped because its server
+	// counted as unresponsive.
+	stalls int
 	// timer measures the server's pace.
 	timer paceTimer
 	// reward is the state of the reward call, and score its answer.
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -98,7 +98,7 @@
 			s, known := r.fleet.Servers().Get(i.server)
 			running = append(running, schedule.Running{
 				Item: r.toScheduleItem(i), Server: i.server, SentAt: i.sentAt, ProgressAt: i.progressAt, Started: i.started,
-				Leaving: known && s.Draining,
+				Leaving: known && s.Draining, Stalls: i.stalls,
 			})
 		}
 	}
@@ -107,6 +107,7 @@
 		i.avoid, i.moving = m.Server, true
 		i.stop()
 		if m.Unresponsive(now) {
+			i.stalls++
 			r.paces.backOff(m.Server, unresponsiveBackoff)
 		}
 		r.log.Info("item moved", zap.String("Item", m.Item.ID), zap.String("From", m.Server),
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -166,11 +166,12 @@
 // have not returned in time. It is called with the mutex held.
 func (r *Runner) checkReturning(now time.Time) {
 	for id, i := range r.returning {
-		running := schedule.Running{ProgressAt: i.progressAt, Started: i.started}
+		running := schedule.Running{ProgressAt: i.progressAt, Started: i.started, Stalls: i.stalls}
 		switch {
 		case !i.keepUntil.IsZero() && now.After(i.keepUntil):
 			r.dropReturning(id)
 		case i.stop != nil && running.Unresponsive(now):
+			i.stalls++
 			i.stop()
 		}
 	}
