Quarantine only requests that made servers end

Cause: a broken connection counted as a crash caused by the request that ran. Requests of the same content (reward calls with one body, a popular GET) add up: one crash during which three of them ran, or three broken connections of servers that went on, put all of them in quarantine for two minutes, and reward calls for 30 s more.

Change: failures are counted by the server's incarnation; attempts that ran when it failed count once, also over daemons (heartbeats carry the counts by incarnation, under a new key, so that older builds ignore them); a server that answers an attempt which began after the failure has not crashed; an answered request is harmless. Reward calls look again after 1 s.

--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -24,14 +24,19 @@
 	rewardTimeout = 2 * time.Second
 	// maxRewardBytes limits how much of the response to a reward call is read.
 	maxRewardBytes = 4 << 20
-	// quarantineDelay is how long a reward call that crashes servers is not sent.
-	quarantineDelay = 30 * time.Second
+	// quarantineDelay is the time between two checks whether a reward call is still in
+	// quarantine.
+	quarantineDelay = time.Second
 )
 
 // Suspects counts the server failures during requests, over all daemons.
 type Suspects interface {
-	// Suspect counts a server failure during a request.
-	Suspect(p quarantine.Fingerprint)
+	// Suspect counts a failure of a server during an attempt that began at a time.
+	Suspect(p quarantine.Fingerprint, s backend.Server, begunAt time.Time)
+	// Alive records that a server answered an attempt that began at a time.
+	Alive(s backend.Server, begunAt time.Time)
+	// Cleared records that a request was answered.
+	Cleared(p quarantine.Fingerprint)
 	// Quarantined reports whether too many servers failed during a request.
 	Quarantined(p quarantine.Fingerprint) bool
 }
--- a/internal/front/batch/score.go
+++ b/internal/front/batch/score.go
@@ -37,8 +37,14 @@
 		return
 	}
 	r.metrics.Attempt(metrics.KindReward, metrics.Outcome(out.status, out.notRun, out.err), s.Address.String(), took)
-	if errors.Is(out.err, backend.ErrIncomplete) && !ended {
-		r.suspects.Suspect(p)
+	if out.err == nil {
+		r.suspects.Alive(s, begunAt)
+	}
+	switch {
+	case errors.Is(out.err, backend.ErrIncomplete) && !ended:
+		r.suspects.Suspect(p, s, begunAt)
+	case out.scored():
+		r.suspects.Cleared(p)
 	}
 	r.handleReward(o, s, out, took)
 	r.trigger()
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -41,9 +41,9 @@
 	Loaded map[string]map[string]int
 	// Running counts the items of batch jobs that the daemon runs, by server.
 	Running map[string]int
-	// Suspects counts the servers that failed while they ran the same request,
-	// by the request's fingerprint.
-	Suspects map[uint64]int
+	// Suspects counts the failures of servers while they ran the same request, by the
+	// request's fingerprint.
+	Suspects map[uint64]SuspectServers `msgpack:"SuspectServers"`
 	// Ahead is how far the daemon's time of day is ahead of the store's clock,
 	// which has another origin; 0 if unknown.
 	Ahead time.Duration
@@ -52,6 +52,10 @@
 	Paces map[string]time.Duration
 }
 
+// SuspectServers counts the failures of servers while they ran one request, by the hash
+// of the server's incarnation.
+type SuspectServers map[uint64]int
+
 // Members is an immutable list of the daemons that are alive, in order of their
 // IDs.
 type Members struct {
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -183,8 +183,14 @@
 		o := c.attempt(ctx, s)
 		failed := o.err != nil && ctx.Err() == nil || o.notRun
 		c.balancer.Done(s.ID, time.Since(start), o.load, failed)
-		if errors.Is(o.err, backend.ErrIncomplete) && ctx.Err() == nil {
-			c.Suspect(c.fingerprint)
+		if o.err == nil {
+			c.Alive(s, start)
+		}
+		switch {
+		case errors.Is(o.err, backend.ErrIncomplete) && ctx.Err() == nil:
+			c.Suspect(c.fingerprint, s, start)
+		case o.deliverable():
+			c.Cleared(c.fingerprint)
 		}
 		c.metrics.Attempt(metrics.KindLive, o.name(), s.Address.String(), time.Since(start))
 		results <- o
--- a/internal/front/forward/suspects.go
+++ b/internal/front/forward/suspects.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
 const (
@@ -12,77 +17,183 @@
 	// the request is considered the cause and not run again.
 	maxFailures = 3
 	// suspectRetention is how long the failures of a request count after the
-	// last one.
+	// last one, and how long a request counts as harmless after it was answered.
 	suspectRetention = 2 * time.Minute
 	// maxSuspects is the maximum number of requests for which failures are counted.
 	maxSuspects = 256
 )
 
-// suspects counts the servers that failed while they ran the same request. It
+// suspects counts the failures of servers while they ran the same request. It
 // identifies requests by their content, because a caller's retries have other
-// IDs. The zero value is empty. Its methods may be called from any goroutine.
+// IDs. Requests of the same content may be common: those that run on a server when it
+// fails count as one failure, and an answer proves that the request is not the cause.
+// The zero value is empty. Its methods may be called from any goroutine.
 type suspects struct {
 	mutex    sync.Mutex
 	failures map[quarantine.Fingerprint]failures
+	// answered holds the requests with failures that were answered afterwards, and
+	// until when they count as harmless.
+	answered map[quarantine.Fingerprint]time.Time
 }
 
 // failures counts the failures of one request until they expire.
 type failures struct {
-	count int
-	until time.Time
+	// counts and lastAt hold the number of failures and the time of the last one, by
+	// the server's incarnation.
+	counts fleet.SuspectServers
+	lastAt map[uint64]time.Time
+	until  time.Time
 }
 
-// add counts a failure and drops expired ones. A request that has none yet is
-// not counted while maxSuspects others are.
-func (s *suspects) add(f quarantine.Fingerprint, now time.Time) {
+// add counts a failure of a server during an attempt that began at a time, and drops
+// expired ones. A request that has none yet is not counted while maxSuspects others
+// are.
+func (s *suspects) add(f quarantine.Fingerprint, server uint64, begunAt, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.removeExpired(now)
+	c, ok := s.failures[f]
+	if !ok && len(s.failures) >= maxSuspects {
+		return
+	}
+	if !ok {
+		c = failures{counts: make(fleet.SuspectServers), lastAt: make(map[uint64]time.Time)}
+	}
+	c.until = now.Add(suspectRetention)
+	if !begunAt.Before(c.lastAt[server]) {
+		c.counts[server]++
+		c.lastAt[server] = now
+	}
 	if s.failures == nil {
 		s.failures = make(map[quarantine.Fingerprint]failures)
 	}
+	s.failures[f] = c
+	delete(s.answered, f)
+}
+
+// clear records that a request with failures was answered.
+func (s *suspects) clear(f quarantine.Fingerprint, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.failures, f)
+	if s.answered == nil {
+		s.answered = make(map[quarantine.Fingerprint]time.Time)
+	}
+	if _, ok := s.answered[f]; ok || len(s.answered) < maxSuspects {
+		s.answered[f] = now.Add(suspectRetention)
+	}
+}
+
+// alive drops the failures of a server that answered an attempt which began after them:
+// its connections broke, but it did not end.
+func (s *suspects) alive(server uint64, begunAt time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for f, c := range s.failures {
+		if at, ok := c.lastAt[server]; !ok || !begunAt.After(at) {
+			continue
+		}
+		delete(c.counts, server)
+		delete(c.lastAt, server)
+		if len(c.counts) == 0 {
+			delete(s.failures, f)
+		}
+	}
+}
+
+func (s *suspects) removeExpired(now time.Time) {
 	for k, c := range s.failures {
 		if now.After(c.until) {
 			delete(s.failures, k)
 		}
 	}
-	if _, ok := s.failures[f]; !ok && len(s.failures) >= maxSuspects {
-		return
+	for k, until := range s.answered {
+		if now.After(until) {
+			delete(s.answered, k)
+		}
 	}
-	s.failures[f] = failures{count: s.failures[f].count + 1, until: now.Add(suspectRetention)}
 }
 
-// active returns the numbers of failures that have not expired.
-func (s *suspects) active(now time.Time) map[uint64]int {
+// active returns the numbers of failures that have not expired, by fingerprint and
+// server.
+func (s *suspects) active(now time.Time) map[uint64]fleet.SuspectServers {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	out := make(map[uint64]int)
+	out := make(map[uint64]fleet.SuspectServers)
 	for k, c := range s.failures {
-		if now.Before(c.until) {
-			out[uint64(k)] = c.count
+		if !now.Before(c.until) {
+			continue
 		}
+		out[uint64(k)] = maps.Clone(c.counts)
 	}
 	return out
 }
 
+// harmless reports whether a request was answered after its last failure.
+func (s *suspects) harmless(f quarantine.Fingerprint, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Before(s.answered[f])
+}
+
 // Suspects returns the numbers of server failures that this daemon observed, by
-// the request's fingerprint. They are sent to the other daemons.
-func (f *Forwarder) Suspects() map[uint64]int {
+// the request's fingerprint and the server's incarnation. They are sent to the other
+// daemons.
+func (f *Forwarder) Suspects() map[uint64]fleet.SuspectServers {
 	return f.suspects.active(time.Now())
 }
 
-// Suspect counts a server failure during a request.
-func (f *Forwarder) Suspect(p quarantine.Fingerprint) {
-	f.suspects.add(p, time.Now())
+// Suspect counts a failure of a server during an attempt that began at a time.
+func (f *Forwarder) Suspect(p quarantine.Fingerprint, s backend.Server, begunAt time.Time) {
+	f.suspects.add(p, xxhash.Sum64String(s.Incarnation()), begunAt, time.Now())
+}
+
+// Alive records that a server answered an attempt that began at a time. Its earlier
+// failures were not caused by a request that makes servers end.
+func (f *Forwarder) Alive(s backend.Server, begunAt time.Time) {
+	f.suspects.alive(xxhash.Sum64String(s.Incarnation()), begunAt)
+}
+
+// Cleared records that a request was answered, which proves that it does not make
+// servers fail.
+func (f *Forwarder) Cleared(p quarantine.Fingerprint) {
+	if f.failureCount(p) > 0 {
+		f.suspects.clear(p, time.Now())
+	}
 }
 
 // Quarantined reports whether too many servers failed during a request, according
 // to this daemon and the heartbeats of the others.
 func (f *Forwarder) Quarantined(p quarantine.Fingerprint) bool {
-	total := f.Suspects()[uint64(p)]
+	return f.failureCount(p) >= maxFailures && !f.suspects.harmless(p, time.Now())
+}
+
+// failureCount returns the number of failures during a request. One failure of a
+// server that several daemons observed counts once.
+func (f *Forwarder) failureCount(p quarantine.Fingerprint) int {
+	counts := f.Suspects()[uint64(p)]
 	for _, m := range f.fleet.Members().List {
-		if m.ID != f.self {
-			total += m.Suspects[uint64(p)]
+		if m.ID == f.self {
+			continue
 		}
+		counts = maxCounts(counts, m.Suspects[uint64(p)])
 	}
-	return total >= maxFailures
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// maxCounts returns the larger count for each server.
+func maxCounts(a, b fleet.SuspectServers) fleet.SuspectServers {
+	if len(b) == 0 {
+		return a
+	}
+	out := make(fleet.SuspectServers, len(a)+len(b))
+	maps.Copy(out, a)
+	for server, n := range b {
+		out[server] = max(out[server], n)
+	}
+	return out
 }
--- /dev/null
+++ b/internal/front/forward/suspects_test.go
@@ -0,0 +1,86 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+)
+
+// popular is a request that many callers send.
+const popular = quarantine.Fingerprint(7)
+
+var crashedAt = time.Unix(1000, 0)
+
+func (s *suspects) count(now time.Time) int {
+	total := 0
+	for _, n := range s.active(now)[uint64(popular)] {
+		total += n
+	}
+	return total
+}
+
+// TestOneCrashCountsOnce has a server fail while it runs many requests of the same
+// content, and fail again later: that is two failures.
+func TestOneCrashCountsOnce(t *testing.T) {
+	var s suspects
+	for n := range 20 {
+		now := crashedAt.Add(time.Duration(n) * time.Millisecond)
+		s.add(popular, 1, crashedAt.Add(-time.Duration(n)*time.Second), now)
+	}
+	must.Eq(t, 1, s.count(crashedAt.Add(time.Second)))
+	again := crashedAt.Add(time.Second)
+	s.add(popular, 1, again, again.Add(time.Millisecond))
+	must.Eq(t, 2, s.count(again.Add(time.Second)))
+	s.add(popular, 2, again, again.Add(time.Millisecond))
+	must.Eq(t, 3, s.count(again.Add(time.Second)))
+	must.Eq(t, 0, s.count(again.Add(2*suspectRetention)))
+}
+
+// TestAnsweredRequestIsHarmless has a request fail with servers that fail for another
+// reason, and be answered afterwards.
+func TestAnsweredRequestIsHarmless(t *testing.T) {
+	var s suspects
+	for server := range uint64(5) {
+		s.add(popular, server, crashedAt, crashedAt.Add(time.Millisecond))
+	}
+	now := crashedAt.Add(time.Second)
+	must.False(t, s.harmless(popular, now))
+	s.clear(popular, now)
+	must.True(t, s.harmless(popular, now))
+	must.Eq(t, 0, s.count(now))
+	must.False(t, s.harmless(popular, now.Add(2*suspectRetention)))
+	// Failures after the answer count.
+	s.add(popular, 9, now, now.Add(time.Millisecond))
+	must.False(t, s.harmless(popular, now))
+	must.Eq(t, 1, s.count(now))
+}
+
+// TestBrokenConnectionIsNoCrash breaks connections of a server that goes on answering,
+// and of one that does not.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	var s suspects
+	for n := range 9 {
+		begunAt := crashedAt.Add(time.Duration(n) * time.Second)
+		s.add(popular, 1, begunAt, begunAt.Add(time.Millisecond))
+		s.add(popular, 2, begunAt, begunAt.Add(time.Millisecond))
+	}
+	// An attempt that began before the last failure proves nothing.
+	s.alive(1, crashedAt.Add(8*time.Second))
+	must.Eq(t, 18, s.count(crashedAt.Add(10*time.Second)))
+	s.alive(1, crashedAt.Add(9*time.Second))
+	must.Eq(t, 9, s.count(crashedAt.Add(10*time.Second)))
+	s.alive(2, crashedAt.Add(9*time.Second))
+	must.MapLen(t, 0, s.failures)
+}
+
+// TestFailureSeenByManyDaemonsCountsOnce adds up the heartbeats of daemons that all had
+// the request on the same server when it failed.
+func TestFailureSeenByManyDaemonsCountsOnce(t *testing.T) {
+	got := maxCounts(fleet.SuspectServers{1: 1}, fleet.SuspectServers{1: 1, 2: 1})
+	got = maxCounts(got, fleet.SuspectServers{1: 1, 2: 2})
+	must.Eq(t, fleet.SuspectServers{1: 1, 2: 2}, got)
+}
