Remember answered requests as harmless in the count of server failures

Change: the last 4,096 answered requests are remembered; their failures do not count and are not sent to the other daemons. A request that makes every server fail is never answered.

--- a/internal/front/forward/suspects.go
+++ b/internal/front/forward/suspects.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
@@ -17,10 +18,13 @@
 	// the request is considered the cause and not run again.
 	maxFailures = 3
 	// suspectRetention is how long the failures of a request count after the
-	// last one, and how long a request counts as harmless after it was answered.
+	// last one.
 	suspectRetention = 2 * time.Minute
 	// maxSuspects is the maximum number of requests for which failures are counted.
 	maxSuspects = 256
+	// maxAnswered is the number of answered requests that are remembered, the most
+	// recent ones.
+	maxAnswered = 4096
 )
 
 // suspects counts the failures of servers while they ran the same request. It
@@ -31,9 +35,8 @@
 type suspects struct {
 	mutex    sync.Mutex
 	failures map[quarantine.Fingerprint]failures
-	// answered holds the requests with failures that were answered afterwards, and
-	// until when they count as harmless.
-	answered map[quarantine.Fingerprint]time.Time
+	// answered holds the requests that were answered lately: they are harmless.
+	answered *simplelru.LRU[quarantine.Fingerprint, struct{}]
 }
 
 // failures counts the failures of one request until they expire.
@@ -52,6 +55,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.removeExpired(now)
+	if s.isAnswered(f) {
+		return
+	}
 	c, ok := s.failures[f]
 	if !ok && len(s.failures) >= maxSuspects {
 		return
@@ -68,20 +74,24 @@
 		s.failures = make(map[quarantine.Fingerprint]failures)
 	}
 	s.failures[f] = c
-	delete(s.answered, f)
 }
 
-// clear records that a request with failures was answered.
-func (s *suspects) clear(f quarantine.Fingerprint, now time.Time) {
+// clear records that a request was answered.
+func (s *suspects) clear(f quarantine.Fingerprint) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.failures, f)
 	if s.answered == nil {
-		s.answered = make(map[quarantine.Fingerprint]time.Time)
-	}
-	if _, ok := s.answered[f]; ok || len(s.answered) < maxSuspects {
-		s.answered[f] = now.Add(suspectRetention)
+		// The size is positive, so that there is no error.
+		s.answered, _ = simplelru.NewLRU[quarantine.Fingerprint, struct{}](maxAnswered, nil)
 	}
+	s.answered.Add(f, struct{}{})
+}
+
+// isAnswered reports whether a request was answered lately. It is called with the mutex
+// held.
+func (s *suspects) isAnswered(f quarantine.Fingerprint) bool {
+	return s.answered != nil && s.answered.Contains(f)
 }
 
 // alive drops the failures of a server that answered an attempt which began after them:
@@ -107,11 +117,6 @@
 			delete(s.failures, k)
 		}
 	}
-	for k, until := range s.answered {
-		if now.After(until) {
-			delete(s.answered, k)
-		}
-	}
 }
 
 // active returns the numbers of failures that have not expired, by fingerprint and
@@ -129,11 +134,11 @@
 	return out
 }
 
-// harmless reports whether a request was answered after its last failure.
-func (s *suspects) harmless(f quarantine.Fingerprint, now time.Time) bool {
+// harmless reports whether a request was answered lately.
+func (s *suspects) harmless(f quarantine.Fingerprint) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return now.Before(s.answered[f])
+	return s.isAnswered(f)
 }
 
 // Suspects returns the numbers of server failures that this daemon observed, by
@@ -157,15 +162,13 @@
 // Cleared records that a request was answered, which proves that it does not make
 // servers fail.
 func (f *Forwarder) Cleared(p quarantine.Fingerprint) {
-	if f.failureCount(p) > 0 {
-		f.suspects.clear(p, time.Now())
-	}
+	f.suspects.clear(p)
 }
 
 // Quarantined reports whether too many servers failed during a request, according
 // to this daemon and the heartbeats of the others.
 func (f *Forwarder) Quarantined(p quarantine.Fingerprint) bool {
-	return f.failureCount(p) >= maxFailures && !f.suspects.harmless(p, time.Now())
+	return f.failureCount(p) >= maxFailures && !f.suspects.harmless(p)
 }
 
 // failureCount returns the number of failures during a request. One failure of a
