Reserve servers for long items by how much load slows servers down

Cause: half of the servers were reserved for long items whatever load costs. On the visit-scoring deployment load hardly slows engines down, and the reservation kept short items, some of which turn out long, waiting at the start of a step.

Change: the reserved share is half of the servers where an item costs 2.5 % of a server's pace, less where it costs less. Where load matters nothing changes.

Before: TestBurstTakesAllSlotsWhereLoadHardlyMatters, 26 of 48 items start at once; after: 48.

--- a/internal/control/schedule/load_test.go
+++ b/internal/control/schedule/load_test.go
@@ -53,6 +53,27 @@
 	must.Eq(t, before, e.Factor())
 }
 
+// TestBurstTakesAllSlotsWhereLoadHardlyMatters replays the start of a step, many short
+// items and two long ones, on servers that are not slowed down by load: all items must
+// start at once.
+func TestBurstTakesAllSlotsWhereLoadHardlyMatters(t *testing.T) {
+	var waiting []schedule.Item
+	for i := range 46 {
+		it := item(strconv.Itoa(i), 300, 8*time.Second)
+		it.ReadyAt = start
+		waiting = append(waiting, it)
+	}
+	waiting = append(waiting, item("long-1", 8000, 8*time.Second), item("long-2", 8000, 8*time.Second))
+	for _, test := range []struct {
+		factor float64
+		placed int
+	}{{0.003, 48}, {0.025, 26}} {
+		servers := []schedule.Server{server("a", 12, 1), server("b", 12, 1), server("c", 12, 1), server("d", 12, 1)}
+		survey := schedule.NewSurvey(servers, observeSteps(test.factor).Factor())
+		must.Len(t, test.placed, survey.Place(start, waiting, servers), must.Sprint(test.factor))
+	}
+}
+
 // TestItemsStayWhereLoadHardlyMatters replays the middle of a step: a long item runs on
 // a server with a dozen others while another server has become empty. Moving it is
 // worth an interruption only on engines that load slows down.
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -9,8 +9,9 @@
 // ones of an older job, unless the older job is late itself.
 //
 // A training step ends with its longest items, and a server generates each item
-// faster the fewer it runs. So about half of the servers are reserved for long
-// items as long as the short ones, which end early anyway, are not urgent.
+// faster the fewer it runs. So up to half of the servers, depending on how much load
+// slows them down, are reserved for long items as long as the short ones, which end
+// early anyway, are not urgent.
 package schedule
 
 import (
@@ -34,8 +35,8 @@
 	spreadFactor = defaultLoadFactor
 	// longItemTime is the remaining time above which an item counts as long.
 	longItemTime = 1500 * time.Millisecond
-	// longShare is the fraction of the servers that is reserved for long items.
-	longShare = 0.5
+	// maxLongShare limits the fraction of the servers that is reserved for long items.
+	maxLongShare = 0.5
 	// urgentWait and urgentSlack make a short item urgent, so that it may take
 	// any server: after that wait, or with less than that slack.
 	urgentWait  = 500 * time.Millisecond
--- a/internal/control/schedule/survey.go
+++ b/internal/control/schedule/survey.go
@@ -42,12 +42,19 @@
 		}
 	}
 	slices.SortFunc(order, candidate.compare)
-	for _, c := range order[:int(longShare*float64(len(order)))] {
+	for _, c := range order[:int(v.longShare()*float64(len(order)))] {
 		v.reserved.Add(c.id)
 	}
 	return v
 }
 
+// longShare returns the fraction of the servers that is reserved for long items: the
+// less load slows servers down, the less long items gain, and the more the slots are
+// needed for the short ones.
+func (v Survey) longShare() float64 {
+	return maxLongShare * min(1, v.loadFactor/defaultLoadFactor)
+}
+
 // compare orders the candidates by the preference for reserving them.
 func (c candidate) compare(o candidate) int {
 	if c.near != o.near {
--- a/internal/front/batch/reading_test.go
+++ b/internal/front/batch/reading_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,13 +42,14 @@
 			must.NoError(t, err)
 		}
 		var lastListedAt time.Time
-		go func() {
+		var g sync.WaitGroup
+		g.Go(func() {
 			for _, event := range []struct{ after, item int }{{1000, 0}, {1700, 2}, {100, 4}, {150, 1}, {100, 3}} {
 				time.Sleep(time.Duration(event.after) * time.Millisecond)
 				list(event.item)
 			}
 			lastListedAt = time.Now()
-		}()
+		})
 		got := 0
 		for got < 5 {
 			begunAt := time.Now()
@@ -58,7 +60,9 @@
 				time.Sleep(time.Until(begunAt.Add(readPause)))
 			}
 		}
-		must.Less(t, 2*lastPollInterval, time.Since(lastListedAt))
+		readAt := time.Now()
+		g.Wait()
+		must.Less(t, 2*lastPollInterval, readAt.Sub(lastListedAt))
 	})
 }
 
