--- a/internal/control/schedule/survey.go
+++ b/internal/control/schedule/survey.go
@@ -31,7 +31,7 @@
 }
 
 // NewSurvey selects the servers to reserve for long items. All daemons that have
-// the same list of servers select the same ones. loadFactor is the fraction by which
+// the same list of servers select the same ones first. loadFactor is the fraction by which
 // each further item slows a server down.
 func NewSurvey(servers []Server, loadFactor float64) Survey {
 	v := Survey{fastest: FastestPace(servers), loadFactor: loadFactor}
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -163,12 +163,13 @@
 }
 
 // checkReturning stops reruns whose servers are unresponsive, and drops the items that
-// have not returned in time. It is called with the mutex held.
+// have not returned in time, also those of jobs that nobody ends. It is called with the
+// mutex held.
 func (r *Runner) checkReturning(now time.Time) {
 	for id, i := range r.returning {
 		running := schedule.Running{ProgressAt: i.progressAt, Started: i.started, Stalls: i.stalls}
 		switch {
-		case !i.keepUntil.IsZero() && now.After(i.keepUntil):
+		case !i.keepUntil.IsZero() && now.After(i.keepUntil), now.Sub(i.sentAt) > itemTimeout:
 			r.dropReturning(id)
 		case i.stop != nil && running.Unresponsive(now):
 			i.stalls++
