Count failures of a returned item anew

Cause: an item that returned in a later job kept the failures of the earlier one, so that it could be abandoned after fewer answers of 500 than its route allows. (Found on reading the diff.) A head without shards must not end the daemon either.

Before: TestKeptTextFitsOnlyTheSameRequest/same fails on the failures. After: passes.

--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -66,7 +66,7 @@
 		i := r.returning[origin.ID]
 		if i == nil || i.progress.oldestWeights() < p.Item.MinVersion {
 			r.dropReturning(origin.ID)
-			i = &item{Item: origin.Item, job: origin.job.returningCopy(p.Item.MinVersion)}
+			i = &item{Item: origin.Item, job: origin.job.returningCopy(p.Item.MinVersion), readyAt: now}
 			r.returning[i.ID] = i
 		}
 		r.log.Info("item generated again for a later step", zap.String("Job", origin.job.head.ID), zap.String("Item", i.ID),
@@ -195,6 +195,8 @@
 	i.readyAt, i.keepUntil, i.spent = time.Now(), time.Time{}, spent{}
 	// The checkpoints of the earlier job are not those of this one.
 	i.progress.Lineage, i.checkpointed, i.checkpointedEnd = r.newLineage(), 0, checkpointedEnd{}
+	// Failures count for each job.
+	i.progress.Failures, i.progress.RewardFailures = schedule.Failures{}, schedule.Failures{}
 	r.log.Info("item returned and continues", zap.String("Job", j.head.ID), zap.String("Item", i.ID),
 		zap.Int("Events", i.progress.After), zap.Ints("Weights", i.progress.Weights), zap.Bool("Complete", i.progress.Complete))
 	return i
@@ -232,7 +234,7 @@
 			continue
 		}
 		for _, x := range h.Items {
-			if at, ok := latest[x.ID]; !ok || h.SubmittedAt > at {
+			if at, ok := latest[x.ID]; x.Shard < len(h.Shards) && (!ok || h.SubmittedAt > at) {
 				latest[x.ID] = h.SubmittedAt
 				out[x.ID] = h.Shards[x.Shard].Member
 			}
--- a/internal/front/batch/returning_test.go
+++ b/internal/front/batch/returning_test.go
@@ -54,12 +54,17 @@
 		t.Run(test.name, func(t *testing.T) {
 			r := newRunner(&store.Memory{}, "a")
 			i := &item{Item: kept, job: &job{head: head, returning: true}, progress: Progress{After: 2, Data: []string{"p", "q"}, Weights: []int{3, 5}}}
+			i.progress.Failures.Add("s")
+			i.progress.RewardFailures.Add("s")
 			r.returning["1"] = i
 			h, returned := head, kept
 			h.ID = "j2"
 			test.edit(&h, &returned)
 			got := r.adopt(r.add(h), returned, Progress{}, false)
 			must.Eq(t, test.want, got != nil)
+			if got != nil {
+				must.Eq(t, 0, got.progress.Failures.Runs+got.progress.RewardFailures.Runs, must.Sprint("failures count for each job"))
+			}
 			must.MapLen(t, 0, r.returning)
 		})
 	}
