--- a/internal/control/schedule/load.go
+++ b/internal/control/schedule/load.go
@@ -77,8 +77,7 @@
 	return max(0, min(maxLoadFactor, factor))
 }
 
-// Unloaded returns the time per token at low load, given the time per token measured
-// while the server ran load items.
-func (e *LoadEffect) Unloaded(measured time.Duration, load int) time.Duration {
-	return time.Duration(float64(measured) / (1 + e.Factor()*float64(load)))
+// Unloaded returns the time per token at low load, given the one under load items.
+func (e *LoadEffect) Unloaded(pace time.Duration, load int) time.Duration {
+	return time.Duration(float64(pace) / (1 + e.Factor()*float64(load)))
 }
--- a/internal/control/schedule/load_test.go
+++ b/internal/control/schedule/load_test.go
@@ -57,13 +57,7 @@
 // items and two long ones, on servers that are not slowed down by load: all items must
 // start at once.
 func TestBurstTakesAllSlotsWhereLoadHardlyMatters(t *testing.T) {
-	var waiting []schedule.Item
-	for i := range 46 {
-		it := item(strconv.Itoa(i), 300, 8*time.Second)
-		it.ReadyAt = start
-		waiting = append(waiting, it)
-	}
-	waiting = append(waiting, item("long-1", 8000, 8*time.Second), item("long-2", 8000, 8*time.Second))
+	waiting := burst(46)
 	for _, test := range []struct {
 		factor float64
 		placed int
--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -21,6 +21,18 @@
 	return schedule.Item{ReadyAt: start.Add(-time.Minute), ID: id, Service: "s", Model: "m", MinVersion: 1, Remaining: remaining, DueAt: start.Add(due)}
 }
 
+// burst returns the items at the start of a step: short ones that have just become
+// ready, and two long ones.
+func burst(short int) []schedule.Item {
+	var out []schedule.Item
+	for i := range short {
+		it := item(strconv.Itoa(i), 300, 8*time.Second)
+		it.ReadyAt = start
+		out = append(out, it)
+	}
+	return append(out, item("long-1", 8000, 8*time.Second), item("long-2", 8000, 8*time.Second))
+}
+
 func TestPlaceStartsLeastSlackFirst(t *testing.T) {
 	// A new job with a long item, and an older job with only short items left.
 	waiting := []schedule.Item{
@@ -63,15 +75,7 @@
 // and two long ones, on servers with many free slots: the long items get servers
 // of their own.
 func TestShortItemsStayOffReservedServers(t *testing.T) {
-	var waiting []schedule.Item
-	for i := range 30 {
-		it := item(strconv.Itoa(i), 300, 8*time.Second)
-		it.ReadyAt = start
-		waiting = append(waiting, it)
-	}
-	for _, id := range []string{"long-1", "long-2"} {
-		waiting = append(waiting, item(id, 8000, 8*time.Second))
-	}
+	waiting := burst(30)
 	servers := []schedule.Server{server("a", 12, 1), server("b", 12, 1), server("c", 12, 1), server("d", 12, 1)}
 	count := make(map[string]int)
 	placed := make(map[string]string)
