Rerun items only on servers whose other items it costs little

Change: a server gets reruns only while load factor times items is at most a tenth. On the visit-scoring deployment that is always so once the factor is estimated.

Before: TestRerunsCostOtherItemsLittle has no such decision.

--- a/internal/control/schedule/load_test.go
+++ b/internal/control/schedule/load_test.go
@@ -68,6 +68,20 @@
 	}
 }
 
+// TestRerunsCostOtherItemsLittle offers a nearly idle server and a busy one for reruns.
+func TestRerunsCostOtherItemsLittle(t *testing.T) {
+	idle, busy := server("idle", 12, 1), server("busy", 4, 1)
+	idle.Load, busy.Load = 2, 8
+	for _, test := range []struct {
+		factor float64
+		want   int
+	}{{0.003, 2}, {0.025, 1}, {0.06, 0}} {
+		servers := []schedule.Server{idle, busy}
+		survey := schedule.NewSurvey(servers, observeSteps(test.factor).Factor())
+		must.Len(t, test.want, survey.ForReruns(servers), must.Sprint(test.factor))
+	}
+}
+
 // TestItemsStayWhereLoadHardlyMatters replays the middle of a step: a long item runs on
 // a server with a dozen others while another server has become empty. Moving it is
 // worth an interruption only on engines that load slows down.
--- a/internal/control/schedule/survey.go
+++ b/internal/control/schedule/survey.go
@@ -48,6 +48,22 @@
 	return v
 }
 
+// maxRerunCost limits what a rerun may cost the other items on its server together, as a
+// fraction of its own time.
+const maxRerunCost = 0.1
+
+// ForReruns returns the servers on which a rerun slows the other items down by little:
+// where load matters, only those that run few.
+func (v Survey) ForReruns(servers []Server) []Server {
+	var out []Server
+	for _, s := range servers {
+		if v.loadFactor*float64(s.Load) <= maxRerunCost {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // longShare returns the fraction of the servers that is reserved for long items: the
 // less load slows servers down, the less long items gain, and the more the slots are
 // needed for the short ones.
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -27,7 +27,8 @@
 // return in a later step under the same IDs, and that step waits for all of them but
 // accepts only newer weights, so that their texts would have to be generated from the
 // beginning. Therefore the last items of a step are also run on servers that have the
-// newest weights, if these have free slots. These reruns, and runs that began under
+// newest weights, if these have free slots and the reruns cost their other items little.
+// These reruns, and runs that began under
 // the newest weights anyway, go on when the job ends, and the later job adopts them.
 // The job of such an item is a copy that holds nothing but the head, with the oldest
 // version of the weights that may generate the text.
@@ -57,7 +58,7 @@
 	if len(candidates) == 0 {
 		return
 	}
-	for _, p := range survey.Place(now, candidates, servers) {
+	for _, p := range survey.Place(now, candidates, survey.ForReruns(servers)) {
 		s, ok := r.fleet.Servers().Get(p.Server)
 		if !ok {
 			continue
