A misdirected answer is no sign of life of a crashed server

Cause: a server that crashed is followed by another one at its address, which answers 421 to a request for the old one. That counted as an answer of the old server and cleared the failure, so that a request which crashes each server could escape the quarantine.

Before: TestMisdirectedRequestIsNoSignOfLife fails. After: passes.

--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -28,8 +28,8 @@
 // accepts only newer weights, so that their texts would have to be generated from the
 // beginning. Therefore the last items of a step are also run on servers that have the
 // newest weights, if these have free slots and the reruns cost their other items little.
-// These reruns, and runs that began under
-// the newest weights anyway, go on when the job ends, and the later job adopts them.
+// These reruns, and runs that began under the newest weights anyway, go on when the job
+// ends, and the later job adopts them.
 // The job of such an item is a copy that holds nothing but the head, with the oldest
 // version of the weights that may generate the text.
 
--- a/internal/front/batch/score.go
+++ b/internal/front/batch/score.go
@@ -37,7 +37,7 @@
 		return
 	}
 	r.metrics.Attempt(metrics.KindReward, metrics.Outcome(out.status, out.notRun, out.err), s.Address.String(), took)
-	if out.err == nil {
+	if out.err == nil && out.status != http.StatusMisdirectedRequest {
 		r.suspects.Alive(s, begunAt)
 	}
 	switch {
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -183,7 +183,8 @@
 		o := c.attempt(ctx, s)
 		failed := o.err != nil && ctx.Err() == nil || o.notRun
 		c.balancer.Done(s.ID, time.Since(start), o.load, failed)
-		if o.err == nil {
+		// Another server at the address answers that the request was misdirected.
+		if o.err == nil && o.status != http.StatusMisdirectedRequest {
 			c.Alive(s, start)
 		}
 		switch {
--- a/internal/front/forward/forward_test.go
+++ b/internal/front/forward/forward_test.go
@@ -195,3 +195,30 @@
 		must.LessEq(t, 4, len(c.servers))
 	})
 }
+
+// TestMisdirectedRequestIsNoSignOfLife repeats a request that makes each server end.
+// After each crash another server at the address answers that a request for the old one
+// was misdirected: that must not clear the request.
+func TestMisdirectedRequestIsNoSignOfLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		calls := make(map[string]int)
+		c := &fakeClient{do: func(_ context.Context, _ int, to backend.Server) (*backend.Response, error) {
+			if calls[to.ID]++; calls[to.ID]%2 == 1 {
+				return nil, backend.ErrIncomplete
+			}
+			r := notRunResponse()
+			r.Status = http.StatusMisdirectedRequest
+			return r, nil
+		}}
+		f, _ := newForwarder(t, c)
+		r := route.Route{Kind: route.Safe, MaxServers: 1, MaxWait: time.Second, Services: []route.WeightedService{{Service: "s", Weight: 1}}}
+		var err error
+		for range 12 {
+			time.Sleep(2 * time.Second)
+			now := time.Now()
+			req := Request{Request: backend.Request{ID: now.String(), Method: "POST", Target: "/x", Deadline: now.Add(time.Second)}, ArrivedAt: now}
+			err = f.Do(t.Context(), r, "w", req, &recordedResponse{})
+		}
+		checkRefusal(t, err, refusal.ErrGaveUp, refusal.ReasonQuarantine)
+	})
+}
