--- a/cmd/lacewingtally/front.go
+++ b/cmd/lacewingtally/front.go
@@ -50,8 +50,8 @@
 			Server:        server.Decode,
 		},
 		Store: store.New(s.Store),
-		Servers: func(leaving func(backend.Server)) backend.Client {
-			return server.NewClient(leaving)
+		Servers: func(o backend.Observer) backend.Client {
+			return server.NewClient(o)
 		},
 		Reporter: platform,
 		Scaler:   platform,
--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
 )
 
 // Errors of a Client.
@@ -146,6 +148,17 @@
 	Waiting int
 }
 
+// Observer receives what servers announce in their responses, of whatever kind. Its
+// methods must not block.
+type Observer interface {
+	// RecordLeaving records that a server will shut down.
+	RecordLeaving(s Server)
+	// RecordLimit records the rate, in requests per second, that a server allows to all
+	// daemons together, as named in its response to a request sent at sentAt. The rate is
+	// empty if the response names none.
+	RecordLimit(s Server, rate option.Option[float64], sentAt time.Time)
+}
+
 // Client sends requests and orders to backend servers.
 type Client interface {
 	// Do sends a request once. Its errors wrap ErrNotSent or ErrIncomplete.
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/front/relay"
 	"github.com/lacewingtally/lacewingtally/internal/front/settings"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
+	"github.com/lacewingtally/lacewingtally/internal/front/throttle"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
 
@@ -42,9 +43,9 @@
 type Dependencies struct {
 	Codec fleet.Codec
 	Store store.Store
-	// Servers returns the client of the backend servers. The client calls leaving for
-	// each response in which a server announces its shutdown.
-	Servers  func(leaving func(backend.Server)) backend.Client
+	// Servers returns the client of the backend servers, which reports to the observer
+	// what servers announce in their responses.
+	Servers  func(backend.Observer) backend.Client
 	Reporter duty.Reporter
 	Scaler   duty.Scaler
 	// Callers returns the handler of callers' requests. Its last parameter reports
@@ -72,6 +73,7 @@
 	mux       wire.Mux
 	relay     *relay.Store
 	fleet     *fleet.State
+	limits    *throttle.Limits
 	runner    *batch.Runner
 	keeper    *duty.Keeper
 	weights   *duty.Weights
@@ -134,7 +136,8 @@
 	d.fleet = fleet.New(d.relay, p.Codec, log)
 	ledger := batch.Ledger{Store: d.relay}
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
-	client := p.Servers(d.fleet.RecordLeaving)
+	d.limits = throttle.NewLimits(d.fleet, log)
+	client := p.Servers(observer{d.fleet, d.limits})
 	balancer := &balance.Balancer{Domain: s.Domain}
 	d.forwarder = forward.New(d.fleet, client, balancer, d.meter, p.Metrics, self, log)
 	d.runner = batch.NewRunner(d.fleet, ledger, client, balancer, d.forwarder, p.Metrics, self, log)
@@ -208,7 +211,7 @@
 			ConfigAge: d.fleet.ConfigAge(), MembersAge: d.fleet.MembersAge(),
 			DutyHeld: err == nil, ItemsRunning: running, ItemsWaiting: waiting, ItemsScoring: scoring, JobsOpen: open,
 			LinesLeftOut: d.dependencies.LinesLeftOut(), Members: len(d.fleet.Members().List),
-			Servers: len(d.fleet.Servers().List), StoreAge: d.fleet.StoreAge(), StoreRelayed: d.relay.Unreachable(),
+			Servers: len(d.fleet.Servers().List), ServersLimited: d.limits.Count(), StoreAge: d.fleet.StoreAge(), StoreRelayed: d.relay.Unreachable(),
 		}
 		if c := d.fleet.Config(); c != nil {
 			s.ConfigVersion = c.Version
@@ -247,6 +250,12 @@
 	return out
 }
 
+// observer is a backend.Observer.
+type observer struct {
+	*fleet.State
+	*throttle.Limits
+}
+
 // service is a named background service of the supervisor.
 type service struct {
 	name  string
--- a/internal/front/metrics/metrics.go
+++ b/internal/front/metrics/metrics.go
@@ -33,6 +33,7 @@
 	Requests       Name = "requests"
 	ServerFailures Name = "server_failures"
 	Servers        Name = "servers"
+	ServersLimited Name = "servers_limited"
 	StoreAge       Name = "store_answer_age_seconds"
 	StoreRelayed   Name = "store_through_peers"
 )
@@ -67,7 +68,7 @@
 func Names() []Name {
 	return []Name{
 		AttemptSeconds, Attempts, ConfigAge, ConfigVersion, DutyHeld, ItemSeconds, ItemsRunning, ItemsScoring, ItemsWaiting, JobsOpen,
-		LinesLeftOut, Members, MembersAge, RequestSeconds, Requests, ServerFailures, Servers, StoreAge, StoreRelayed,
+		LinesLeftOut, Members, MembersAge, RequestSeconds, Requests, ServerFailures, Servers, ServersLimited, StoreAge, StoreRelayed,
 	}
 }
 
@@ -85,8 +86,10 @@
 	Members       int
 	MembersAge    time.Duration
 	Servers       int
-	StoreAge      time.Duration
-	StoreRelayed  bool
+	// ServersLimited is the number of servers that limit their rates.
+	ServersLimited int
+	StoreAge       time.Duration
+	StoreRelayed   bool
 }
 
 // Metrics are the metrics of one daemon. The zero value discards everything; use
@@ -188,6 +191,7 @@
 	m.gauge(Members, float64(s.Members))
 	m.gauge(MembersAge, s.MembersAge.Seconds())
 	m.gauge(Servers, float64(s.Servers))
+	m.gauge(ServersLimited, float64(s.ServersLimited))
 	m.gauge(StoreAge, s.StoreAge.Seconds())
 	m.gauge(StoreRelayed, boolValue(s.StoreRelayed))
 }
