Divide the rates that servers allow among the daemons, on all paths

The class is a limit on the sum of what many daemons send, of every kind.

control/ratelimit turns a rate into slots on the clock that the daemons share and gives each daemon those of its share, which follows the demands in the heartbeats. front/throttle is the only way to servers: live requests, items, reward calls, orders and status queries take slots. Live requests go first and may wait for a known slot for half of their objective; what does not fit is refused at once as not run, with the time of the next slot. Rates travel in heartbeats, so a restarted daemon knows them.

--- /dev/null
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -0,0 +1,218 @@
+package ratelimit_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
+)
+
+const (
+	// span is the time over which requests are counted, and factor and margin what may
+	// exceed the rate in it.
+	span   = 4 * time.Second
+	factor = 1.5
+	margin = 5
+	tick   = 10 * time.Millisecond
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 678e6, time.UTC)
+
+// daemon is one sender of a replayed load.
+type daemon struct {
+	slots ratelimit.Slots
+	// ahead is how far its clock is ahead of the others'.
+	ahead time.Duration
+	// waiting is the number of requests that wait to be sent.
+	waiting int
+	sent    int
+}
+
+// replay lets daemons send whatever waits whenever they may, and returns the times of
+// all requests. Each second the demands are reported: what waits and what was sent since.
+func replay(daemons []*daemon, rate func(at time.Duration) float64, length time.Duration, arrive func(at time.Duration, d []*daemon)) []time.Duration {
+	var sent []time.Duration
+	demands := make([]float64, len(daemons))
+	lastSent := make([]int, len(daemons))
+	for at := time.Duration(0); at < length; at += tick {
+		arrive(at, daemons)
+		if at%time.Second == 0 {
+			for n, d := range daemons {
+				demands[n] = float64(d.waiting + d.sent - lastSent[n])
+				lastSent[n] = d.sent
+			}
+		}
+		for n, d := range daemons {
+			now := start.Add(at + d.ahead)
+			for d.waiting > 0 {
+				slot, ok := d.slots.Next(now, now, rate(at), ratelimit.ShareOf(demands, n))
+				if !ok {
+					break
+				}
+				d.slots.Use(slot)
+				d.waiting--
+				d.sent++
+				sent = append(sent, at)
+			}
+		}
+	}
+	return sent
+}
+
+// mostIn returns the largest number of requests within span.
+func mostIn(sent []time.Duration) int {
+	most, first := 0, 0
+	for n, at := range sent {
+		for at-sent[first] >= span {
+			first++
+		}
+		most = max(most, n-first+1)
+	}
+	return most
+}
+
+func newDaemons(count int) []*daemon {
+	out := make([]*daemon, count)
+	for n := range out {
+		out[n] = &daemon{ahead: time.Duration(n%3) * 20 * time.Millisecond}
+	}
+	return out
+}
+
+func constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// TestBurstKeepsRate has all daemons hold many requests from the start, for fleets and
+// rates of different sizes: the server gets no more than it allows, and nearly that.
+func TestBurstKeepsRate(t *testing.T) {
+	for _, count := range []int{1, 3, 9, 100, 300} {
+		for _, rate := range []float64{0.5, 1, 3.7, 40, 500} {
+			sent := replay(newDaemons(count), constant(rate), 20*time.Second, func(at time.Duration, all []*daemon) {
+				for _, d := range all {
+					d.waiting = 10000
+				}
+			})
+			note := must.Sprintf("%d daemons, rate %v: %d sent", count, rate, len(sent))
+			must.LessEq(t, int(factor*rate*span.Seconds())+margin, mostIn(sent), note)
+			must.GreaterEq(t, int(0.9*rate*20), len(sent), note)
+		}
+	}
+}
+
+// TestRateFollowsDemand lets two of a hundred daemons have requests: they must come to
+// use most of the rate.
+func TestRateFollowsDemand(t *testing.T) {
+	const rate = 4.0
+	sent := replay(newDaemons(100), constant(rate), 60*time.Second, func(_ time.Duration, all []*daemon) {
+		all[17].waiting, all[70].waiting = 1000, 1000
+	})
+	must.LessEq(t, int(factor*rate*span.Seconds())+margin, mostIn(sent))
+	late := slices.DeleteFunc(sent, func(at time.Duration) bool { return at < 20*time.Second })
+	must.GreaterEq(t, int(0.7*rate*40), len(late))
+}
+
+// TestUnusedSlotsAreNotSaved lets a hundred daemons be idle for a minute and then send
+// at once.
+func TestUnusedSlotsAreNotSaved(t *testing.T) {
+	const rate = 2.0
+	sent := replay(newDaemons(100), constant(rate), 80*time.Second, func(at time.Duration, all []*daemon) {
+		if at >= time.Minute {
+			for _, d := range all {
+				d.waiting = 1000
+			}
+		}
+	})
+	must.LessEq(t, int(factor*rate*span.Seconds())+margin, mostIn(sent))
+}
+
+// TestRandomLoadKeepsRate draws fleets, rates that change, and demands that come and go.
+func TestRandomLoadKeepsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rates := rapid.SliceOfN(rapid.Float64Range(0.3, 20), 1, 4).Draw(t, "rates")
+		highest := slices.Max(rates)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		count := rapid.IntRange(1, 40).Draw(t, "daemons")
+		busy := rapid.Float64Range(0, 0.05).Draw(t, "busy")
+		rate := func(at time.Duration) float64 { return rates[int(at/(8*time.Second))%len(rates)] }
+		sent := replay(newDaemons(count), rate, 30*time.Second, func(_ time.Duration, all []*daemon) {
+			for _, d := range all {
+				if r.Float64() < busy {
+					d.waiting += r.IntN(10)
+				}
+			}
+		})
+		if most, allowed := mostIn(sent), int(factor*highest*span.Seconds())+margin; most > allowed {
+			t.Fatalf("%d requests in %v, %d allowed", most, span, allowed)
+		}
+	})
+}
+
+func TestSharesDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 50).Draw(t, "demands")
+		end := 0.0
+		for n := range demands {
+			s := ratelimit.ShareOf(demands, n)
+			if s.From != end || s.To <= s.From {
+				t.Fatalf("share %d is %v after %v", n, s, end)
+			}
+			end = s.To
+		}
+		if end < 1-1e-9 || end > 1+1e-9 {
+			t.Fatalf("shares end at %v", end)
+		}
+	})
+}
+
+// TestReservedSlotsAreInOrder reserves slots ahead: each gets its own, in time order, and
+// none is later than the bound.
+func TestReservedSlotsAreInOrder(t *testing.T) {
+	var s ratelimit.Slots
+	last := time.Time{}
+	n := 0
+	for {
+		at, ok := s.Next(start, start.Add(2*time.Second), 3, ratelimit.All)
+		if !ok {
+			break
+		}
+		must.True(t, at.After(last))
+		must.False(t, at.After(start.Add(2*time.Second)))
+		s.Use(at)
+		last = at
+		n++
+	}
+	must.Between(t, 6, n, 9)
+	must.Eq(t, 0, s.Free(start.Add(2*time.Second), start.Add(2*time.Second), 3, ratelimit.All, 5))
+	must.Eq(t, 1, s.Free(start.Add(2400*time.Millisecond), start.Add(2400*time.Millisecond), 3, ratelimit.All, 5))
+}
+
+// TestClockSetBack reserves a slot by a clock that is then set back by hours.
+func TestClockSetBack(t *testing.T) {
+	var s ratelimit.Slots
+	s.Use(start.Add(5 * time.Hour))
+	_, ok := s.Next(start, start, 5, ratelimit.All)
+	must.True(t, ok)
+}
+
+func TestLoans(t *testing.T) {
+	var l ratelimit.Loans
+	must.True(t, l.Take(start))
+	must.True(t, l.Take(start.Add(time.Second)))
+	must.False(t, l.Take(start.Add(2*time.Second)))
+	must.True(t, l.Take(start.Add(2600*time.Millisecond)))
+	must.False(t, l.Take(start.Add(2700*time.Millisecond)))
+}
+
+func BenchmarkNext(b *testing.B) {
+	var s ratelimit.Slots
+	share := ratelimit.ShareOf(make([]float64, 300), 150)
+	for b.Loop() {
+		s.Next(start, start, 100, share)
+	}
+}
--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -19,6 +19,9 @@
 var (
 	// ErrNotSent reports that no byte of a request was sent: it has not run.
 	ErrNotSent = errors.New("backend: not sent")
+	// ErrLimited reports that no byte of a request was sent, because the server limits
+	// its rate. It wraps ErrNotSent.
+	ErrLimited = errors.Wrap(ErrNotSent, "rate limit of the server")
 	// ErrIncomplete reports that a request may have run, but that no complete
 	// response was received.
 	ErrIncomplete = errors.New("backend: response missing or truncated")
@@ -75,6 +78,9 @@
 	// ResumeAfter is the ID of the last event received; 0 requests the stream from
 	// the beginning.
 	ResumeAfter int
+	// SendBy is until when the request may wait to be sent if the server limits its
+	// rate; zero if it may not wait.
+	SendBy time.Time
 }
 
 // Response is a server's response to a request. Body must be closed.
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 )
 
@@ -31,6 +32,9 @@
 type Balancer struct {
 	// Domain is the daemon's failure domain.
 	Domain string
+	// Delay returns the time until a request may be sent to a server that limits its
+	// rate. If nil, no server does.
+	Delay func(backend.Server) time.Duration
 
 	mutex   sync.Mutex
 	servers map[string]*serverStats
@@ -84,6 +88,20 @@
 	return servers[best], true
 }
 
+// ShortestDelay returns the shortest time until a request may be sent to a server of a
+// service that is not draining; 0 if there is none.
+func (b *Balancer) ShortestDelay(servers []backend.Server, service string) time.Duration {
+	shortest := option.Option[time.Duration]{}
+	for _, s := range servers {
+		if s.Service != service || s.Draining || b.Delay == nil {
+			continue
+		}
+		d := b.Delay(s)
+		shortest = option.Some(min(d, shortest.Or(d)))
+	}
+	return shortest.Or(0)
+}
+
 // Estimate returns the state of a server.
 func (b *Balancer) Estimate(s backend.Server) Estimate {
 	b.mutex.Lock()
@@ -107,6 +125,13 @@
 	b.stats(id).backoffUntil = time.Now().Add(failureBackoff)
 }
 
+// Cancel records that a request was not sent.
+func (b *Balancer) Cancel(id string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.stats(id).running--
+}
+
 // Done records the end of a request. After a failure, the server is avoided for
 // failureBackoff.
 func (b *Balancer) Done(id string, took time.Duration, load backend.Load, failed bool) {
@@ -142,6 +167,9 @@
 	if s.Domain != b.Domain {
 		c += crossDomainMillis
 	}
+	if b.Delay != nil {
+		c += float64(b.Delay(s)) / float64(time.Millisecond)
+	}
 	if now.Before(r.backoffUntil) {
 		c += float64(failureBackoff / time.Millisecond)
 	}
--- a/internal/front/batch/handover_test.go
+++ b/internal/front/batch/handover_test.go
@@ -37,7 +37,7 @@
 
 func newRunner(s store.Store, self string) *Runner {
 	f := fleet.New(s, fleet.Codec{}, zap.NewNop())
-	return NewRunner(f, Ledger{Store: s}, nil, &balance.Balancer{}, nil, &metrics.Metrics{}, self, zap.NewNop())
+	return NewRunner(f, Ledger{Store: s}, nil, unlimited{}, &balance.Balancer{}, nil, &metrics.Metrics{}, self, zap.NewNop())
 }
 
 // TestHandOverToPeerDuringStoreOutage covers a daemon that leaves during an
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -42,6 +42,29 @@
 	return out
 }
 
+// reportWaiting reports the items that were not placed as demand at the servers that
+// limit their rates. It is called with the mutex held.
+func (r *Runner) reportWaiting(waiting []schedule.Item, placed []schedule.Placement) {
+	left := make(map[string]int)
+	for _, w := range waiting {
+		left[w.Service]++
+	}
+	for _, p := range placed {
+		left[p.Item.Service]--
+	}
+	r.reportDemand(left)
+}
+
+// reportDemand reports the numbers of waiting requests, by service, as demand at the
+// servers that limit their rates.
+func (r *Runner) reportDemand(waiting map[string]int) {
+	for _, s := range r.fleet.Servers().List {
+		if n := waiting[s.Service]; n > 0 && !s.Draining {
+			r.limits.Want(s, n)
+		}
+	}
+}
+
 // toScheduleItem describes an item to the scheduler.
 func (r *Runner) toScheduleItem(i *item) schedule.Item {
 	w := schedule.Item{
--- a/internal/front/batch/reading_test.go
+++ b/internal/front/batch/reading_test.go
@@ -30,7 +30,7 @@
 func TestTrainerGetsTheLastGroupAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &store.Memory{}
-		r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
+		r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, unlimited{}, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
 		h := Head{ID: "j", Workspace: "w", Desired: 2}
 		for n := range 6 {
 			h.Items = append(h.Items, ItemHead{ID: strconv.Itoa(n), Group: strconv.Itoa(n / 2)})
@@ -72,7 +72,7 @@
 func TestWaitingReadEndsInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &store.Memory{}
-		r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
+		r := NewRunner(fleet.New(m, fleet.Codec{}, zap.NewNop()), Ledger{Store: m}, nil, unlimited{}, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
 		h := Head{ID: "j", Workspace: "w", Desired: 1, Items: []ItemHead{{ID: "0", Group: "g"}, {ID: "1", Group: "g"}}}
 		r.add(h)
 		s := NewService(nil, Ledger{Store: m}, r, zap.NewNop())
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -58,7 +58,8 @@
 	if len(candidates) == 0 {
 		return
 	}
-	for _, p := range survey.Place(now, candidates, survey.ForReruns(servers)) {
+	servers = slices.DeleteFunc(survey.ForReruns(servers), func(s schedule.Server) bool { return r.limitsRate(s.ID) })
+	for _, p := range survey.Place(now, candidates, servers) {
 		s, ok := r.fleet.Servers().Get(p.Server)
 		if !ok {
 			continue
@@ -76,6 +77,12 @@
 	}
 }
 
+// limitsRate reports whether a server limits its rate: reruns leave its slots to others.
+func (r *Runner) limitsRate(id string) bool {
+	s, ok := r.fleet.Servers().Get(id)
+	return ok && r.limits.Limited(s)
+}
+
 // yieldReruns stops the reruns for open jobs, because other items wait for slots. Their
 // texts are kept, and they go on once slots are free. It is called with the mutex held.
 func (r *Runner) yieldReruns() {
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -131,12 +131,27 @@
 	if len(calls) == 0 {
 		return
 	}
-	for _, p := range reward.Place(now, calls, r.rewardServers(calls), r.rewardShare()) {
+	placed := reward.Place(now, calls, r.rewardServers(calls), r.rewardShare())
+	for _, p := range placed {
 		s, ok := r.fleet.Servers().Get(p.Server)
 		if ok {
 			r.startReward(ctx, owners[p.Call], s)
 		}
 	}
+	r.reportDemand(waitingCalls(calls, placed))
+}
+
+// waitingCalls returns the numbers of calls that no server runs and that were not placed,
+// by service.
+func waitingCalls(calls []reward.Call, placed []reward.Placement) map[string]int {
+	waiting := make(map[string]int)
+	for _, c := range calls {
+		sent := slices.ContainsFunc(placed, func(p reward.Placement) bool { return p.Call == c.ID })
+		if len(c.Servers) == 0 && !sent {
+			waiting[c.Service]++
+		}
+	}
+	return waiting
 }
 
 // toRewardCall describes an item's reward call to the decision. The same item may
@@ -187,7 +202,7 @@
 		}
 		e := r.balancer.Estimate(s)
 		out = append(out, reward.Server{
-			ID: s.ID, Service: s.Service, Slots: s.Slots, Running: e.Running, Cost: e.Cost, CallCost: e.RequestCost,
+			ID: s.ID, Service: s.Service, Slots: min(s.Slots, e.Running+r.limits.Free(s, s.Slots)), Running: e.Running, Cost: e.Cost, CallCost: e.RequestCost,
 		})
 	}
 	return out
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -104,6 +104,8 @@
 	switch {
 	case stopped:
 		return
+	case errors.Is(err, backend.ErrLimited):
+		i.notBefore = now.Add(refusedItemBackoff)
 	case errors.Is(err, backend.ErrNotSent):
 		r.paces.backOff(s.ID, unreachableBackoff)
 		i.avoid = s.ID
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -41,12 +41,23 @@
 	newJobAge = time.Second
 )
 
+// Limits knows the rates that servers allow.
+type Limits interface {
+	// Free returns how many requests may be sent to a server now, at most a number.
+	Free(s backend.Server, most int) int
+	// Limited reports whether a server limits its rate.
+	Limited(s backend.Server) bool
+	// Want records the number of requests that wait for a server.
+	Want(s backend.Server, requests int)
+}
+
 // Runner runs the items that belong to this daemon. Use NewRunner.
 type Runner struct {
 	balancer *balance.Balancer
 	client   backend.Client
 	fleet    *fleet.State
 	ledger   Ledger
+	limits   Limits
 	log      *zap.Logger
 	// metrics may be the zero value, which discards everything.
 	metrics  *metrics.Metrics
@@ -84,10 +95,10 @@
 // NewRunner returns a Runner for the daemon self. Reward calls share b and s with
 // live requests, which use the same servers.
 func NewRunner(
-	f *fleet.State, l Ledger, c backend.Client, b *balance.Balancer, s Suspects, m *metrics.Metrics, self string, log *zap.Logger,
+	f *fleet.State, l Ledger, c backend.Client, x Limits, b *balance.Balancer, s Suspects, m *metrics.Metrics, self string, log *zap.Logger,
 ) *Runner {
 	return &Runner{
-		balancer: b, client: c, fleet: f, ledger: l, log: log, metrics: m, self: self, suspects: s,
+		balancer: b, client: c, fleet: f, ledger: l, limits: x, log: log, metrics: m, self: self, suspects: s,
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), returning: make(map[string]*item),
 	}
 }
@@ -183,6 +194,7 @@
 			r.startReruns(ctx, now, survey, servers)
 		} else {
 			r.yieldReruns()
+			r.reportWaiting(waiting, placements)
 		}
 		r.sendRewards(ctx, now)
 	}
--- a/internal/front/batch/score.go
+++ b/internal/front/batch/score.go
@@ -32,6 +32,11 @@
 		stop()
 		delete(i.reward.stops, s.ID)
 	}
+	if errors.Is(out.err, backend.ErrLimited) {
+		r.balancer.Cancel(s.ID)
+		i.reward.notBefore = time.Now().Add(refusedItemBackoff)
+		return
+	}
 	r.balancer.Done(s.ID, took, out.load, !cancelled && (out.err != nil || out.notRun))
 	if cancelled || i.done || o.item.job.ended {
 		return
--- a/internal/front/batch/size_test.go
+++ b/internal/front/batch/size_test.go
@@ -50,7 +50,7 @@
 	for len(f.Servers().List) < servers || len(f.Members().List) < daemons {
 		fleet.Sleep(ctx, time.Millisecond)
 	}
-	return NewRunner(f, Ledger{Store: m}, nil, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
+	return NewRunner(f, Ledger{Store: m}, nil, unlimited{}, &balance.Balancer{}, nil, &metrics.Metrics{}, "self", zap.NewNop())
 }
 
 // BenchmarkStep measures one check for items to start or move, which a daemon makes
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -136,17 +136,17 @@
 	d.fleet = fleet.New(d.relay, p.Codec, log)
 	ledger := batch.Ledger{Store: d.relay}
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
-	d.limits = throttle.NewLimits(d.fleet, log)
-	client := p.Servers(observer{d.fleet, d.limits})
-	balancer := &balance.Balancer{Domain: s.Domain}
+	d.limits = throttle.NewLimits(d.fleet, self, log)
+	client := throttle.NewClient(p.Servers(observer{d.fleet, d.limits}), d.limits)
+	balancer := &balance.Balancer{Domain: s.Domain, Delay: d.limits.Delay}
 	d.forwarder = forward.New(d.fleet, client, balancer, d.meter, p.Metrics, self, log)
-	d.runner = batch.NewRunner(d.fleet, ledger, client, balancer, d.forwarder, p.Metrics, self, log)
+	d.runner = batch.NewRunner(d.fleet, ledger, client, d.limits, balancer, d.forwarder, p.Metrics, self, log)
 	d.runner.Handle(&d.mux)
 	d.fleet.Handle(&d.mux)
 	d.jobs = batch.NewService(d.fleet, ledger, d.runner, log)
 	d.sweeper = batch.NewSweeper(d.fleet, ledger, s.Bounds.KeepResults, self, log)
 	d.keeper = duty.NewKeeper(d.fleet, d.relay, self, s.Machine, s.Bounds.LeaseTerm, log)
-	d.weights = duty.NewWeights(d.fleet, client, d.keeper, d.runner.ExpectedTokens, d.notifyLoads, self, log)
+	d.weights = duty.NewWeights(d.fleet, client, d.limits, d.keeper, d.runner.ExpectedTokens, d.notifyLoads, self, log)
 	d.usage = duty.NewUsage(d.fleet, d.relay, p.Reporter, d.keeper, self, s.Bounds.UsageWindow, s.Bounds.UsageLate, log)
 	d.scale = duty.NewScale(d.fleet, p.Scaler, d.keeper, d.runner.TokenRate, self, log)
 	return d
@@ -184,11 +184,12 @@
 
 // member returns the daemon's description in its heartbeat.
 func (d *daemon) member() fleet.Member {
+	rates, demands := d.limits.Report()
 	return fleet.Member{
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
 		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(), Ahead: d.fleet.Clock.Ahead(time.Now()),
-		Suspects: d.forwarder.Suspects(),
+		Suspects: d.forwarder.Suspects(), Rates: rates, Demands: demands,
 	}
 }
 
--- a/internal/front/duty/weights.go
+++ b/internal/front/duty/weights.go
@@ -30,6 +30,12 @@
 	announceDelay = 10 * time.Millisecond
 )
 
+// Limits knows the rates that servers allow.
+type Limits interface {
+	// Free returns how many requests may be sent to a server now, at most a number.
+	Free(s backend.Server, most int) int
+}
+
 // Weights orders servers to load the versions of weights that the operators set.
 // Use NewWeights.
 type Weights struct {
@@ -40,6 +46,7 @@
 	// notify reports changed stages of loads to the daemons that run items.
 	notify func(context.Context, []fleet.Load)
 	holder Holder
+	limits Limits
 	self   string
 	log    *zap.Logger
 
@@ -61,11 +68,11 @@
 
 // NewWeights returns a Weights that sends orders while h holds the duty.
 func NewWeights(
-	f *fleet.State, c backend.Client, h Holder, demand func(model string) float64,
+	f *fleet.State, c backend.Client, l Limits, h Holder, demand func(model string) float64,
 	notify func(context.Context, []fleet.Load), self string, log *zap.Logger,
 ) *Weights {
 	return &Weights{
-		client: c, fleet: f, demand: demand, notify: notify, holder: h, self: self, log: log,
+		client: c, fleet: f, limits: l, demand: demand, notify: notify, holder: h, self: self, log: log,
 		loads: make(map[string]*load), loaded: make(map[string]map[string]int),
 	}
 }
@@ -254,10 +261,14 @@
 	if err != nil {
 		return backend.Refused, errors.Wrap(errNotOrdered, err.Error())
 	}
-	return w.client.SendOrder(ctx, s, backend.Order{
+	outcome, err := w.client.SendOrder(ctx, s, backend.Order{
 		Model: l.model, Version: l.version, FinishRuns: w.singleVersion(s.Service),
 		Holder: w.self, Fence: fence, Expected: l.expected,
 	})
+	if errors.Is(err, backend.ErrLimited) {
+		return outcome, errors.Wrap(errNotOrdered, err.Error())
+	}
+	return outcome, err
 }
 
 // singleVersion reports whether a route to a service requires results from a
--- a/internal/front/duty/weights_test.go
+++ b/internal/front/duty/weights_test.go
@@ -63,6 +63,11 @@
 	return backend.Accepted, nil
 }
 
+// unlimited is Limits without limited servers.
+type unlimited struct{}
+
+func (unlimited) Free(_ backend.Server, most int) int { return most }
+
 // newState returns a State with two servers that run version 1 of a model, for
 // which the operators have set version 2.
 func newState(t *testing.T) *fleet.State {
@@ -95,7 +100,7 @@
 		f := newState(t)
 		l := &lossyServers{losses: 1, orders: make(map[string]int), versions: map[string]int{"a": 1, "b": 1}}
 		notify := func(context.Context, []fleet.Load) {}
-		w := NewWeights(f, l, alwaysHeld{}, func(string) float64 { return 1 }, notify, "self", zap.NewNop())
+		w := NewWeights(f, l, unlimited{}, alwaysHeld{}, func(string) float64 { return 1 }, notify, "self", zap.NewNop())
 		ctx, stop := context.WithCancel(t.Context())
 		var g sync.WaitGroup
 		for _, serve := range []func(context.Context) error{f.ServeOperator, f.ServeServers, w.Serve} {
@@ -117,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var announced [][]fleet.Load
 		notify := func(_ context.Context, loads []fleet.Load) { announced = append(announced, loads) }
-		w := NewWeights(newState(t), nil, alwaysHeld{}, func(string) float64 { return 1 }, notify, "self", zap.NewNop())
+		w := NewWeights(newState(t), nil, unlimited{}, alwaysHeld{}, func(string) float64 { return 1 }, notify, "self", zap.NewNop())
 		w.mutex.Lock()
 		for n := range 1000 {
 			s := backend.Server{ID: strconv.Itoa(n)}
@@ -152,7 +157,7 @@
 		done := make(chan error)
 		go func() { done <- f.ServeServers(ctx) }()
 		synctest.Wait()
-		w := NewWeights(f, nil, alwaysHeld{}, nil, func(context.Context, []fleet.Load) {}, "self", zap.NewNop())
+		w := NewWeights(f, nil, unlimited{}, alwaysHeld{}, nil, func(context.Context, []fleet.Load) {}, "self", zap.NewNop())
 		w.mutex.Lock()
 		w.finish(ctx, backend.Server{ID: "a"}, &load{model: "m", version: 2})
 		w.pruneLoaded()
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -50,6 +50,19 @@
 	// Paces holds the recently observed time between two events of a stream, by
 	// server.
 	Paces map[string]time.Duration
+	// Rates holds the rates that servers named to the daemon, by server incarnation.
+	Rates map[string]ServerRate
+	// Demands holds, for servers that limit their rates, the number of requests that the
+	// daemon sent lately and of those that wait, by server incarnation.
+	Demands map[string]float64
+}
+
+// ServerRate is the rate that a server allows to all daemons together.
+type ServerRate struct {
+	// Rate is in requests per second.
+	Rate float64
+	// NamedAt is when the server last named it, by the store's clock.
+	NamedAt time.Time
 }
 
 // SuspectServers counts the failures of servers while they ran one request, by the hash
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -110,6 +110,9 @@
 	case o.notRun:
 		c.refused = true
 		c.sent--
+	case errors.Is(o.err, backend.ErrLimited):
+		c.limited++
+		c.sent--
 	case errors.Is(o.err, backend.ErrNotSent):
 		c.sent--
 	default:
@@ -124,11 +127,12 @@
 		return false
 	}
 	c.rounds++
-	if len(c.tried) == 0 || c.rounds >= maxRounds {
+	if len(c.tried) == c.limited || c.rounds >= maxRounds {
 		return false
 	}
 	fleet.Sleep(ctx, retryInterval)
 	clear(c.tried)
+	c.limited = 0
 	return ctx.Err() == nil
 }
 
@@ -181,8 +185,12 @@
 	go func() {
 		start := time.Now()
 		o := c.attempt(ctx, s)
-		failed := o.err != nil && ctx.Err() == nil || o.notRun
-		c.balancer.Done(s.ID, time.Since(start), o.load, failed)
+		if errors.Is(o.err, backend.ErrLimited) {
+			c.balancer.Cancel(s.ID)
+		} else {
+			failed := o.err != nil && ctx.Err() == nil || o.notRun
+			c.balancer.Done(s.ID, time.Since(start), o.load, failed)
+		}
 		// Another server at the address answers that the request was misdirected.
 		if o.err == nil && o.status != http.StatusMisdirectedRequest {
 			c.Alive(s, start)
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -27,6 +27,10 @@
 	// retryAfterUnavailable is the delay after which a caller should retry if no server or no
 	// configuration is available.
 	retryAfterUnavailable = 150 * time.Millisecond
+	// limitWaitFraction is the fraction of the route's objective for which a request may
+	// wait for servers that limit their rates, and maxLimitWait bounds that time.
+	limitWaitFraction = 0.5
+	maxLimitWait      = 500 * time.Millisecond
 )
 
 // Request is a caller's request.
@@ -79,6 +83,9 @@
 	ran bool
 	// refused is whether a server has stated that it did not run it.
 	refused bool
+	// limited is the number of servers tried in the current round to which it was not
+	// sent because they limit their rates.
+	limited int
 	// sent is the number of attempts in which the request may have run or may still
 	// run.
 	sent int
@@ -144,6 +151,7 @@
 			q.Deadline = end
 		}
 	}
+	q.SendBy = q.ArrivedAt.Add(min(maxLimitWait, time.Duration(limitWaitFraction*float64(r.Objective))))
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	fingerprint := quarantine.FingerprintOf(base.Workspace(workspace), q.Method, q.Target, string(q.Body))
@@ -176,6 +184,8 @@
 	switch {
 	case !c.ran && over:
 		return refusal.NotRun(refusal.ReasonDeadline, time.Time{}, cause)
+	case !c.ran && c.limited > 0:
+		return refusal.NotRun(refusal.ReasonOverload, time.Now().Add(max(retryAfterOverload, c.limitDelay())), cause)
 	case !c.ran && c.refused:
 		return refusal.NotRun(refusal.ReasonOverload, time.Now().Add(retryAfterOverload), cause)
 	case !c.ran:
@@ -186,6 +196,12 @@
 	return refusal.MayHaveRun(refusal.ReasonConnectionLost, time.Time{}, cause)
 }
 
+// limitDelay returns the time until this daemon may send a request to a server of the
+// service that limits its rate.
+func (c *call) limitDelay() time.Duration {
+	return c.balancer.ShortestDelay(c.fleet.Servers().List, c.service)
+}
+
 // repeatable reports whether the request may run more than once.
 func (c *call) repeatable() bool {
 	return c.route.Kind == route.Safe
--- a/internal/front/forward/forward_test.go
+++ b/internal/front/forward/forward_test.go
@@ -222,3 +222,48 @@
 		checkRefusal(t, err, refusal.ErrGaveUp, refusal.ReasonQuarantine)
 	})
 }
+
+// TestLimitedServersRefuseAtOnce lets both servers limit their rates: the request must be
+// refused at once as not run, and each server be asked once.
+func TestLimitedServersRefuseAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, kind := range []route.Kind{route.Safe, route.Unsafe, route.Stream} {
+			c := &fakeClient{do: func(context.Context, int, backend.Server) (*backend.Response, error) {
+				return nil, backend.ErrLimited
+			}}
+			start := time.Now()
+			m, err := run(t, kind, c)
+			checkRefusal(t, err, refusal.ErrNotRun, refusal.ReasonOverload)
+			must.Eq(t, start, time.Now())
+			must.Len(t, 2, c.servers)
+			must.Eq(t, 0, m.counted)
+		}
+	})
+}
+
+// TestLimitedServerIsNotAvoidedLater lets one server limit its rate: the request goes to
+// the other one, and the limit does not count as a failure of the server.
+func TestLimitedServerIsNotAvoidedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limited := ""
+		c := &fakeClient{do: func(_ context.Context, _ int, to backend.Server) (*backend.Response, error) {
+			if limited == "" {
+				limited = to.ID
+			}
+			if to.ID == limited {
+				return nil, backend.ErrLimited
+			}
+			return okResponse(), nil
+		}}
+		f, _ := newForwarder(t, c)
+		r := route.Route{Kind: route.Unsafe, MaxServers: 2, MaxWait: time.Second, Services: []route.WeightedService{{Service: "s", Weight: 1}}}
+		now := time.Now()
+		req := Request{Request: backend.Request{ID: "r", Method: "POST", Deadline: now.Add(time.Second)}, ArrivedAt: now}
+		must.NoError(t, f.Do(t.Context(), r, "w", req, &recordedResponse{}))
+		must.Len(t, 2, c.servers)
+		for _, s := range f.fleet.Servers().List {
+			must.Eq(t, 0, f.balancer.Estimate(s).Running)
+			must.Less(t, float64(time.Second/time.Millisecond), f.balancer.Estimate(s).Cost)
+		}
+	})
+}
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -32,7 +32,12 @@
 		c.tried[s.ID] = true
 		start := time.Now()
 		err := c.streamFrom(ctx, s, &started)
-		c.balancer.Done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
+		if errors.Is(err, backend.ErrLimited) {
+			c.balancer.Cancel(s.ID)
+			c.limited++
+		} else {
+			c.balancer.Done(s.ID, time.Since(start), backend.Load{}, err != nil && ctx.Err() == nil)
+		}
 		c.metrics.Attempt(metrics.KindLive, outcome{err: err}.name(), s.Address.String(), time.Since(start))
 		if err == nil {
 			return nil
--- a/internal/front/metrics/outcome.go
+++ b/internal/front/metrics/outcome.go
@@ -19,11 +19,13 @@
 )
 
 // Outcomes of requests and attempts. The outcome of a refused request is the
-// reason of the refusal instead. OutcomeCut is that of an incomplete response.
+// reason of the refusal instead. OutcomeCut is that of an incomplete response, and
+// OutcomeLimited that of a request that was not sent because its server limits its rate.
 const (
 	OutcomeAnswered = "Answered"
 	OutcomeCut      = "Cut"
 	OutcomeFailed   = "Failed"
+	OutcomeLimited  = "Limited"
 	OutcomeNotRun   = "NotRun"
 	OutcomeNotSent  = "NotSent"
 )
@@ -52,12 +54,14 @@
 
 // Outcomes returns all outcomes except the reasons of refusals.
 func Outcomes() []string {
-	return []string{OutcomeAnswered, OutcomeCut, OutcomeFailed, OutcomeNotRun, OutcomeNotSent}
+	return []string{OutcomeAnswered, OutcomeCut, OutcomeFailed, OutcomeLimited, OutcomeNotRun, OutcomeNotSent}
 }
 
 // Outcome returns the outcome of an attempt on a server.
 func Outcome(status int, notRun bool, err error) string {
 	switch {
+	case errors.Is(err, backend.ErrLimited):
+		return OutcomeLimited
 	case errors.Is(err, backend.ErrNotSent):
 		return OutcomeNotSent
 	case err != nil:
--- a/internal/front/throttle/limits.go
+++ b/internal/front/throttle/limits.go
@@ -1,28 +1,52 @@
 // Package throttle keeps requests to backend servers within the rates that the
-// servers allow to all daemons together.
+// servers allow to all daemons together. Each daemon uses its own part of a server's
+// rate, see control/ratelimit; heartbeats carry the rates and the demands.
 package throttle
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
+	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
-// Limits knows the rates that servers allow. Use NewLimits. Its methods may be called
-// from any goroutine.
+const (
+	// maxDelay is the longest delay that Delay returns.
+	maxDelay = 2 * time.Second
+	// maxOversleep is how much later than at its slot a request may be sent. One that
+	// wakes up later, because the VM was suspended, waits for another slot.
+	maxOversleep = 100 * time.Millisecond
+	// retention is for how long the rate of a server that is not listed is remembered:
+	// rows disappear during outages of the store, and are written again afterwards.
+	retention = 10 * time.Minute
+	// liveSpan is for how long after a live request slots are kept for further ones.
+	liveSpan = 3 * time.Second
+	// liveFraction is the part of a slot's lifetime in which only live requests may use
+	// it: they can't be tried again as often as others.
+	liveFraction = 0.75
+)
+
+// Limits divides the rates that servers allow among the daemons. Use NewLimits. Its
+// methods may be called from any goroutine.
 type Limits struct {
 	fleet *fleet.State
 	log   *zap.Logger
+	self  string
 
 	mutex sync.Mutex
 	// observed holds what servers last answered to this daemon about their rates, by
 	// incarnation.
 	observed map[string]observation
+	// servers holds the state of servers that limit their rates, by incarnation.
+	servers map[string]*server
+	// lastReports is the latest result of reports.
+	lastReports *reports
 }
 
 // observation is what a server answered about its rate. The rate is empty if the server
@@ -33,9 +57,26 @@
 	at time.Time
 }
 
-// NewLimits returns Limits without any limited server.
-func NewLimits(f *fleet.State, log *zap.Logger) *Limits {
-	return &Limits{fleet: f, log: log, observed: make(map[string]observation)}
+// server is what this daemon sends to a server that limits its rate.
+type server struct {
+	slots  ratelimit.Slots
+	loans  ratelimit.Loans
+	demand demand
+	// liveAt is when a live request was last sent or refused.
+	liveAt time.Time
+}
+
+// hold returns for how long a slot is kept for live requests before others may use it.
+func (v *server) hold(rate float64) time.Duration {
+	if time.Since(v.liveAt) > liveSpan {
+		return 0
+	}
+	return time.Duration(liveFraction * float64(ratelimit.MaxAge(rate)))
+}
+
+// NewLimits returns Limits for the daemon self, without any limited server.
+func NewLimits(f *fleet.State, self string, log *zap.Logger) *Limits {
+	return &Limits{fleet: f, log: log, self: self, observed: make(map[string]observation), servers: make(map[string]*server)}
 }
 
 // RecordLimit records the rate that a server named in its response to a request sent at
@@ -45,37 +86,216 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	id := s.Incarnation()
-	known, limited := l.rate(id)
+	known := l.latest(id)
+	before, limited := known.rate.Get()
 	now := l.now()
 	allowed, named := rate.Get()
 	switch {
-	case named && (!limited || known != allowed):
+	case named && (!limited || before != allowed):
 		l.log.Info("server limits its rate", zap.String("Server", s.ID), zap.String("Service", s.Service), zap.Float64("Rate", allowed))
-	case !named && limited && now.Add(-time.Since(sentAt)).After(l.observed[id].at):
-		l.log.Info("server no longer limits its rate", zap.String("Server", s.ID), zap.String("Service", s.Service), zap.Float64("Was", known))
+	case !named && limited && now.Add(-time.Since(sentAt)).After(known.at):
+		l.log.Info("server no longer limits its rate", zap.String("Server", s.ID), zap.String("Service", s.Service), zap.Float64("Was", before))
 	case !named:
 		return
 	}
 	l.observed[id] = observation{rate: rate, at: now}
 }
 
-// Count returns the number of servers that limit their rates.
-func (l *Limits) Count() int {
+// Admit returns once a request may be sent to a server: at once if the server does not
+// limit its rate or this daemon has a slot, and otherwise when this daemon has one, if
+// that is not later than until. Live requests can wait; those that can't, for which until
+// is zero, leave new slots to them. Its errors wrap backend.ErrLimited or the context's.
+func (l *Limits) Admit(ctx context.Context, s backend.Server, until time.Time) error {
+	for {
+		wait, ok := l.reserve(s, until)
+		if !ok {
+			return backend.ErrLimited
+		}
+		if wait <= 0 {
+			return nil
+		}
+		start := fleet.Uptime()
+		fleet.Sleep(ctx, wait)
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if fleet.Uptime()-start < wait+maxOversleep {
+			return nil
+		}
+	}
+}
+
+// Lend reports whether a request may be sent to a server now, with a slot or as one of
+// the few requests that need none.
+func (l *Limits) Lend(s backend.Server) bool {
+	if _, ok := l.reserve(s, time.Time{}); ok {
+		return true
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	v, rate, share, ok := l.limited(s)
+	if !ok {
+		return true
+	}
+	now := l.now()
+	if !v.loans.Take(now) {
+		return false
+	}
+	// The request takes the place of a later one.
+	if at, ok := v.slots.Next(now, now.Add(maxDelay), rate, share); ok {
+		v.slots.Use(at)
+	}
+	return true
+}
+
+// Delay returns the time until this daemon may send a further request to a server, at
+// most maxDelay.
+func (l *Limits) Delay(s backend.Server) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	v, rate, share, ok := l.limited(s)
+	if !ok {
+		return 0
+	}
+	now := l.now()
+	at, ok := v.slots.Next(now, now.Add(maxDelay), rate, share)
+	if !ok {
+		return maxDelay
+	}
+	return max(0, at.Sub(now))
+}
+
+// Free returns how many requests other than live ones this daemon may send to a server
+// now, at most a number.
+func (l *Limits) Free(s backend.Server, most int) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	v, rate, share, ok := l.limited(s)
+	if !ok {
+		return most
+	}
+	now := l.now()
+	return v.slots.Free(now, now.Add(-v.hold(rate)), rate, share, most)
+}
+
+// Limited reports whether a server limits its rate.
+func (l *Limits) Limited(s backend.Server) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, limited := l.latest(s.Incarnation()).rate.Get()
+	return limited
+}
+
+// Want records the number of requests that wait for a slot at a server, for the shares
+// of the daemons.
+func (l *Limits) Want(s backend.Server, requests int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if v, _, _, ok := l.limited(s); ok {
+		v.demand.want(time.Now(), requests)
+	}
+}
+
+// Count returns the number of servers that limit their rates.
+func (l *Limits) Count() int {
 	n := 0
 	for _, s := range l.fleet.Servers().List {
-		if _, limited := l.rate(s.Incarnation()); limited {
+		if l.Limited(s) {
 			n++
 		}
 	}
 	return n
 }
 
-// rate returns the rate that an incarnation of a server allows; false if it sets no
-// limit. It is called with the mutex held.
-func (l *Limits) rate(incarnation string) (float64, bool) {
-	return l.observed[incarnation].rate.Get()
+// Report returns what the daemon's heartbeat contains: the rates that servers named to
+// this daemon, and its demands. It forgets servers that are gone.
+func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]float64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.prune()
+	rates := make(map[string]fleet.ServerRate)
+	demands := make(map[string]float64)
+	for id, o := range l.observed {
+		if rate, ok := o.rate.Get(); ok {
+			rates[id] = fleet.ServerRate{Rate: rate, NamedAt: o.at}
+		}
+	}
+	for id, v := range l.servers {
+		if d := v.demand.at(time.Now()); d > 0 {
+			demands[id] = d
+		}
+	}
+	return rates, demands
+}
+
+// reserve takes this daemon's next slot at a server, if it is not later than until, and
+// returns the time until the slot.
+func (l *Limits) reserve(s backend.Server, until time.Time) (time.Duration, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	v, rate, share, ok := l.limited(s)
+	if !ok {
+		return 0, true
+	}
+	now := l.now()
+	latest := now.Add(-v.hold(rate))
+	if !until.IsZero() {
+		v.liveAt = time.Now()
+		latest = now.Add(max(0, time.Until(until)))
+	}
+	at, ok := v.slots.Next(now, latest, rate, share)
+	if !ok {
+		v.demand.want(time.Now(), 1)
+		return 0, false
+	}
+	v.slots.Use(at)
+	v.demand.sent(time.Now())
+	return at.Sub(now), true
+}
+
+// limited returns the state of a server that limits its rate, the rate and this daemon's
+// share; ok is false if it does not. It is called with the mutex held.
+func (l *Limits) limited(s backend.Server) (v *server, rate float64, share ratelimit.Share, ok bool) {
+	id := s.Incarnation()
+	rate, ok = l.latest(id).rate.Get()
+	if !ok {
+		return nil, 0, ratelimit.Share{}, false
+	}
+	v = l.servers[id]
+	if v == nil {
+		v = &server{}
+		l.servers[id] = v
+	}
+	return v, rate, l.reports().share(id), true
+}
+
+// latest returns the latest observation of a server's rate, by this daemon or another.
+// It is called with the mutex held.
+func (l *Limits) latest(incarnation string) observation {
+	own, reported := l.observed[incarnation], l.reports().latest[incarnation]
+	if reported.at.After(own.at) {
+		return reported
+	}
+	return own
+}
+
+// prune forgets servers that have not been listed for retention. It is called with the
+// mutex held.
+func (l *Limits) prune() {
+	listed := make(map[string]bool)
+	for _, s := range l.fleet.Servers().List {
+		listed[s.Incarnation()] = true
+	}
+	for id, o := range l.observed {
+		if !listed[id] && l.now().Sub(o.at) > retention {
+			delete(l.observed, id)
+		}
+	}
+	for id := range l.servers {
+		if _, limited := l.latest(id).rate.Get(); !limited {
+			delete(l.servers, id)
+		}
+	}
 }
 
 // now returns the time by the store's clock, which all daemons share, or the time of day
--- /dev/null
+++ b/internal/front/throttle/limits_test.go
@@ -0,0 +1,145 @@
+package throttle
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
+	"github.com/lacewingtally/lacewingtally/internal/front/backend"
+	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/store"
+)
+
+var limited = backend.Server{ID: "a"}
+
+// newLimits returns Limits of the daemon "self" whose fleet is empty.
+func newLimits() *Limits {
+	return NewLimits(fleet.New(&store.Memory{}, fleet.Codec{}, zap.NewNop()), "self", zap.NewNop())
+}
+
+// name lets a server name a rate in the response to a request sent at sentAt.
+func name(l *Limits, rate float64, sentAt time.Time) {
+	l.RecordLimit(limited, option.Some(rate), sentAt)
+}
+
+// TestLimitEndsWithALaterRequest has a server answer without a rate to a request that
+// was sent before it last named one, and then to one sent afterwards.
+func TestLimitEndsWithALaterRequest(t *testing.T) {
+	l := newLimits()
+	start := time.Now()
+	time.Sleep(time.Millisecond)
+	name(l, 2, start)
+	must.True(t, l.Limited(limited))
+	l.RecordLimit(limited, option.Option[float64]{}, start)
+	must.True(t, l.Limited(limited))
+	time.Sleep(time.Millisecond)
+	l.RecordLimit(limited, option.Option[float64]{}, time.Now())
+	must.False(t, l.Limited(limited))
+	must.Eq(t, 100, l.Free(limited, 100))
+}
+
+// TestLimitEndsWithRestart names a rate before a server starts again under its ID.
+func TestLimitEndsWithRestart(t *testing.T) {
+	l := newLimits()
+	name(l, 2, time.Now())
+	restarted := limited
+	restarted.StartedAt = time.Now()
+	must.False(t, l.Limited(restarted))
+}
+
+// TestReportedLimitIsObeyed learns of a limit from another daemon's heartbeat, and of its
+// end from an own response.
+func TestReportedLimitIsObeyed(t *testing.T) {
+	l := newLimits()
+	reported := &reports{members: l.fleet.Members(), latest: map[string]observation{
+		limited.Incarnation(): {rate: option.Some(1.0), at: time.Now().Add(-time.Second)},
+	}}
+	l.lastReports = reported
+	must.True(t, l.Limited(limited))
+	rates, _ := l.Report()
+	must.MapEmpty(t, rates, must.Sprint("a daemon reports only what servers named to itself"))
+	l.RecordLimit(limited, option.Option[float64]{}, time.Now())
+	must.False(t, l.Limited(limited))
+}
+
+// TestZeroRateIsTried names a rate of 0: the end of the limit must be noticed.
+func TestZeroRateIsTried(t *testing.T) {
+	l := newLimits()
+	name(l, 0, time.Now())
+	sent := 0
+	for range 100 {
+		if l.Admit(t.Context(), limited, time.Time{}) == nil {
+			sent++
+		}
+	}
+	must.Between(t, 0, sent, 2)
+	must.Greater(t, 0, int(l.Delay(limited)))
+}
+
+// TestLiveRequestsGoFirst lets live requests and others compete for the slots of a
+// server: new slots are kept for live requests, and those that these leave are used.
+func TestLiveRequestsGoFirst(t *testing.T) {
+	l := newLimits()
+	name(l, 5, time.Now())
+	must.NoError(t, l.Admit(t.Context(), limited, time.Now().Add(time.Second)))
+	for l.Admit(t.Context(), limited, time.Now()) == nil {
+		continue
+	}
+	// A slot comes within 200 ms; it is kept for live requests for 525 ms.
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, 0, l.Free(limited, 1))
+	must.ErrorIs(t, l.Admit(t.Context(), limited, time.Time{}), backend.ErrLimited)
+	must.ErrorIs(t, backend.ErrLimited, backend.ErrNotSent)
+	must.NoError(t, l.Admit(t.Context(), limited, time.Now()))
+	time.Sleep(700 * time.Millisecond)
+	must.NoError(t, l.Admit(t.Context(), limited, time.Time{}))
+}
+
+// TestWaitEndsWithTheCaller cancels a request that waits for a slot.
+func TestWaitEndsWithTheCaller(t *testing.T) {
+	l := newLimits()
+	name(l, 0.5, time.Now())
+	for l.Admit(t.Context(), limited, time.Now()) == nil {
+		continue
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	must.ErrorIs(t, l.Admit(ctx, limited, time.Now().Add(time.Minute)), context.DeadlineExceeded)
+	must.Less(t, time.Second, time.Since(start))
+}
+
+// TestLoansAreFew lends orders and queries to a server without slots.
+func TestLoansAreFew(t *testing.T) {
+	l := newLimits()
+	name(l, 0.3, time.Now())
+	lent := 0
+	for range 20 {
+		if l.Lend(limited) {
+			lent++
+		}
+	}
+	must.Between(t, 2, lent, 4)
+}
+
+func TestDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d demand
+		must.Eq(t, 0.0, d.at(time.Now()))
+		for range 4 {
+			d.sent(time.Now())
+		}
+		d.want(time.Now(), 3)
+		d.want(time.Now(), 1)
+		must.Eq(t, 7.0, d.at(time.Now()))
+		time.Sleep(wantSpan)
+		must.Between(t, 2, d.at(time.Now()), 3)
+		time.Sleep(10 * demandSpan)
+		must.Less(t, 0.01, d.at(time.Now()))
+	})
+}
