--- a/internal/front/backend/backend.go
+++ b/internal/front/backend/backend.go
@@ -35,6 +35,9 @@
 	Address netip.AddrPort
 	// Domain is the failure domain.
 	Domain string
+	// Software is the version of the server's software; empty if its row contains none.
+	// Servers of one service may run different versions at the same time.
+	Software string
 	// Slots is the number of requests that the server runs at the same time.
 	Slots int
 	// Draining is set once the server has announced that it will shut down.
--- a/internal/front/batch/openjob.go
+++ b/internal/front/batch/openjob.go
@@ -48,10 +48,11 @@
 	// checkpointedEnd describes the checkpoint of the complete text.
 	checkpointed    int
 	checkpointedEnd checkpointedEnd
-	// lastServer, runs and spent are logged with the item's outcome.
-	lastServer string
-	runs       int
-	spent      spent
+	// lastServer, lastSoftware, runs and spent are logged with the item's outcome.
+	lastServer   string
+	lastSoftware string
+	runs         int
+	spent        spent
 	// readyAt is when the item began to wait.
 	readyAt time.Time
 	// notBefore is the earliest time of the next run; zero sets no limit.
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -65,7 +65,7 @@
 func (r *Runner) startOn(ctx context.Context, i *item, s backend.Server) {
 	c, cancel := context.WithCancel(ctx)
 	i.stop, i.server, i.started, i.moving, i.timer = cancel, s.ID, false, false, paceTimer{}
-	i.lastServer = s.ID
+	i.lastServer, i.lastSoftware = s.ID, s.Software
 	i.runs++
 	i.spent.waiting += time.Since(i.readyAt)
 	i.sentAt, i.progressAt = time.Now(), time.Now()
@@ -137,7 +137,7 @@
 		i.avoid = s.ID
 	}
 	r.log.Info("item will be retried", zap.String("Job", i.job.head.ID), zap.String("Item", i.ID), zap.String("Server", s.ID),
-		zap.Int("Status", status), zap.Int("After", i.progress.After), zap.Error(err))
+		zap.String("Software", s.Software), zap.Int("Status", status), zap.Int("After", i.progress.After), zap.Error(err))
 }
 
 // finish stops an item and records its result; reason is empty if the item is
@@ -154,7 +154,7 @@
 	if s == Completed {
 		r.log.Info("item completed", append(i.spent.fields(), zap.String("Job", j.head.ID), zap.String("Item", i.ID), zap.String("Group", i.Group), zap.Int("GroupItems", j.groupSize(i.Group)),
 			zap.String("Server", i.lastServer), zap.Int("Events", i.progress.After), zap.Int("Runs", i.runs), zap.Int("Tokens", i.Tokens),
-			zap.Ints("Weights", i.progress.Weights))...)
+			zap.Ints("Weights", i.progress.Weights), zap.String("Software", i.lastSoftware))...)
 		i.spent.record(r.metrics)
 		result.Text = strings.Join(i.progress.Data, "\n")
 		result.Weights = i.progress.Weights
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -100,7 +100,8 @@
 		read = append(read, v)
 	}
 	for _, change := range d.update(read, at) {
-		f.log.Info("server "+change.event, zap.String("Server", change.server.ID), zap.String("Service", change.server.Service))
+		f.log.Info("server "+change.event, zap.String("Server", change.server.ID), zap.String("Service", change.server.Service),
+			zap.String("Software", change.server.Software))
 	}
 	rows := slices.Collect(maps.Values(d.rows))
 	f.mutex.Lock()
