Wait for the slot in the test that live requests go first

The test slept for fixed times although slots fall on the clock: with a rate of 5 none of those that live requests leave may be open at one moment. It failed once in some 10 runs.

--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -90,14 +90,23 @@
 	for l.Admit(t.Context(), limited, time.Now()) == nil {
 		continue
 	}
-	// A slot comes within 200 ms; it is kept for live requests for 525 ms.
-	time.Sleep(300 * time.Millisecond)
+	// The next slot comes within 200 ms; it is kept for live requests for 525 ms.
+	must.True(t, eventually(func() bool { return l.Delay(limited) == 0 }))
 	must.Eq(t, 0, l.Free(limited, 1))
 	must.ErrorIs(t, l.Admit(t.Context(), limited, time.Time{}), backend.ErrLimited)
 	must.ErrorIs(t, backend.ErrLimited, backend.ErrNotSent)
 	must.NoError(t, l.Admit(t.Context(), limited, time.Now()))
-	time.Sleep(700 * time.Millisecond)
-	must.NoError(t, l.Admit(t.Context(), limited, time.Time{}))
+	must.True(t, eventually(func() bool { return l.Admit(t.Context(), limited, time.Time{}) == nil }))
+}
+
+// eventually polls until a condition holds, for two seconds at most.
+func eventually(condition func() bool) bool {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
 }
 
 // TestWaitEndsWithTheCaller cancels a request that waits for a slot.
