Continue texts and streams only at the software version that began them

The cause: the version was not decoded, not kept with a text, and not known beyond the daemon that served it, so any free server could go on with any text.

The version is now part of an item's progress, checkpoints and hand-overs; items are placed and moved accordingly, and start over if no server of their version will go on in time. startOn discards the text of a run on another version, whoever placed it. A live stream is bound to the version of its first event; heartbeats carry the origins of recent streams while a service runs several versions, so that callers can take them up anywhere, also after all daemons were restarted. What is not known then is refused as not run.

--- a/internal/control/schedule/move.go
+++ b/internal/control/schedule/move.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
+)
 
 const (
 	// firstEventTimeout is how long a server may take until the first event of
@@ -44,16 +48,22 @@
 // Move returns the running items that are to be stopped and resumed on another
 // server: those whose server leaves or has stopped responding, and those that a
 // faster server would finish sooner. An item stays where it is while no other
-// server has a free slot. Move updates Free of the servers, which may be a part of
-// those surveyed but must contain those of the running items.
+// server has a free slot. Only servers of the software version that generated its text
+// can continue it; an item on a server that has stopped responding moves to another
+// version if there is no such server, and starts over. Move updates Free of the servers,
+// which may be a part of those surveyed but must contain those of the running items.
 func (v Survey) Move(now time.Time, running []Running, servers []Server) []Running {
 	var out []Running
 	for _, r := range running {
-		i := v.pick(Item{Service: r.Item.Service, Model: r.Item.Model, MinVersion: r.Item.MinVersion, Avoid: r.Server}, servers, access{reserved: true})
-		if i < 0 || servers[i].ID == r.Server {
+		unresponsive := r.Unresponsive(now)
+		i := v.pickOther(r, r.Item.Software, servers)
+		if i < 0 && unresponsive {
+			i = v.pickOther(r, option.Option[string]{}, servers)
+		}
+		if i < 0 {
 			continue
 		}
-		if r.Leaving || r.Unresponsive(now) || now.Sub(r.SentAt) > minRunTime && v.finishesSooner(r, servers, servers[i]) {
+		if r.Leaving || unresponsive || now.Sub(r.SentAt) > minRunTime && v.finishesSooner(r, servers, servers[i]) {
 			servers[i].Free--
 			out = append(out, r)
 		}
@@ -61,6 +71,17 @@
 	return out
 }
 
+// pickOther returns the index of the best server for an item other than the one that runs
+// it, of the given software version if that is not empty; -1 if there is none.
+func (v Survey) pickOther(r Running, software option.Option[string], servers []Server) int {
+	it := Item{Service: r.Item.Service, Model: r.Item.Model, MinVersion: r.Item.MinVersion, Avoid: r.Server, Software: software}
+	i := v.pick(it, servers, access{reserved: true})
+	if i >= 0 && servers[i].ID == r.Server {
+		return -1
+	}
+	return i
+}
+
 // Unresponsive reports whether the item has received no event for longer than the
 // timeout. The timeout doubles each time that the item is stopped for it: on engines
 // that are slower than it allows, stopping the item again and again would not help.
--- /dev/null
+++ b/internal/control/schedule/restart.go
@@ -0,0 +1,22 @@
+package schedule
+
+import "time"
+
+// maxTextWait limits how long an item waits for a server that can continue its text.
+const maxTextWait = 2 * time.Second
+
+// StartsOver reports whether a waiting item gives its text up and starts over on any
+// server. compatible is the number of servers that are in use and could continue the
+// text, and pace the time per token. While there are some, the item waits for a free slot
+// on one of them for no longer than generating the text again would take: whichever comes
+// first, it loses at most twice the time of the better choice.
+func (i Item) StartsOver(now time.Time, compatible int, pace time.Duration) bool {
+	if _, ok := i.Software.Get(); !ok {
+		return false
+	}
+	if compatible == 0 {
+		return true
+	}
+	again := time.Duration(i.Produced) * pace
+	return now.Sub(i.ReadyAt) > min(again, maxTextWait)
+}
--- a/internal/control/schedule/schedule.go
+++ b/internal/control/schedule/schedule.go
@@ -17,6 +17,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
 )
 
 const (
@@ -70,12 +72,19 @@
 	ReadyAt time.Time
 	// Avoid is a server on which the item failed; empty for none.
 	Avoid string
+	// Software is the version of the software that generated the item's text so far, which
+	// only servers of this version can continue. It is empty if there is no text.
+	Software option.Option[string]
+	// Produced is the number of tokens of that text.
+	Produced int
 }
 
 // Server is a backend server as the scheduler sees it.
 type Server struct {
 	ID      string
 	Service string
+	// Software is the version of the server's software.
+	Software string
 	// Version returns the version of a model's weights on the server.
 	Version func(model string) int
 	// Free is the number of free slots in this daemon's quota.
@@ -228,10 +237,11 @@
 	return best
 }
 
-// canRun reports whether a server can run an item now: it is of the item's service
-// and its weights are new enough and not being replaced.
+// canRun reports whether a server can run an item now: it is of the item's service, it
+// can continue the item's text, and its weights are new enough and not being replaced.
 func (s Server) canRun(it Item) bool {
-	return s.Service == it.Service && s.Version(it.Model) >= it.MinVersion && !s.isLoading(it.Model)
+	return s.Service == it.Service && it.Software.Or(s.Software) == s.Software &&
+		s.Version(it.Model) >= it.MinVersion && !s.isLoading(it.Model)
 }
 
 // isLoading reports whether a server is loading the weights of a model.
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -63,15 +63,15 @@
 }
 
 // Choose returns the server of a service with the lowest cost, and counts a
-// request on it. It omits draining servers and those in tried, and returns false
-// if there is none left.
-func (b *Balancer) Choose(servers []backend.Server, service string, tried map[string]bool) (backend.Server, bool) {
+// request on it. It omits draining servers and those that allowed excludes, and returns
+// false if there is none left.
+func (b *Balancer) Choose(servers []backend.Server, service string, allowed func(backend.Server) bool) (backend.Server, bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := time.Now()
 	best, bestCost := -1, 0.0
 	for i, s := range servers {
-		if s.Service != service || s.Draining || tried[s.ID] {
+		if s.Service != service || s.Draining || !allowed(s) {
 			continue
 		}
 		if c := b.cost(s, now); best < 0 || c < bestCost {
--- a/internal/front/batch/events.go
+++ b/internal/front/batch/events.go
@@ -42,9 +42,12 @@
 	if e.ID != i.progress.After+1 {
 		return errors.Wrapf(backend.ErrIncomplete, "event %d after %d", e.ID, i.progress.After)
 	}
+	if r.replaced(s) && i.progress.After > 0 {
+		r.startOver(i, "server replaced")
+		return errors.Wrapf(errSoftwareChanged, "server %s", s.ID)
+	}
 	if r.mixesVersions(i, weights) {
-		i.progress = Progress{Failures: i.progress.Failures, RewardFailures: i.progress.RewardFailures}
-		i.checkpointed = 0
+		r.startOver(i, "weights changed")
 		return errors.Wrapf(errWeightsChanged, "version %d", weights)
 	}
 	now := time.Now()
@@ -60,7 +63,7 @@
 		i.spent.starting += now.Sub(i.progressAt)
 	}
 	i.started, i.progressAt = true, now
-	i.progress.After = e.ID
+	i.progress.After, i.progress.Software = e.ID, s.Software
 	i.progress.Data = append(i.progress.Data, e.Data)
 	i.progress.Weights = union(i.progress.Weights, []int{weights})
 	return nil
--- a/internal/front/batch/job.go
+++ b/internal/front/batch/job.go
@@ -150,6 +150,8 @@
 	// Data holds the data of the events.
 	Data    []string
 	Weights []int
+	// Software is the version of the servers' software that generated the lineage.
+	Software string
 	// Complete is whether the text ends with event To.
 	Complete bool
 	// Failures are the failed runs so far, and RewardFailures the failed reward
@@ -173,6 +175,9 @@
 	After   int
 	Data    []string
 	Weights []int
+	// Software is the version of the servers' software that generated Data. Servers of
+	// other versions cannot continue it.
+	Software string
 	// Complete is whether Data is the complete output.
 	Complete bool
 	// Failures are the failed runs, and RewardFailures the failed reward calls.
@@ -195,9 +200,9 @@
 			rewardFailures = c.RewardFailures
 		}
 		if c.Lineage != p.Lineage {
-			p = Progress{Lineage: c.Lineage}
+			p = Progress{Lineage: c.Lineage, Software: c.Software}
 		}
-		if c.From != p.After {
+		if c.From != p.After || c.Software != p.Software {
 			continue
 		}
 		p.After = c.To
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -21,8 +21,8 @@
 )
 
 // waiting returns the waiting items. It abandons items that have no route in the
-// current configuration.
-func (r *Runner) waiting() []schedule.Item {
+// current configuration, and discards texts that no server will continue in time.
+func (r *Runner) waiting(now time.Time) []schedule.Item {
 	var out []schedule.Item
 	for _, j := range r.jobs {
 		if j.ended {
@@ -32,7 +32,12 @@
 			if i.done || i.stop != nil || i.progress.Complete {
 				continue
 			}
-			if w := r.toScheduleItem(i); w.Service != "" {
+			w := r.toScheduleItem(i)
+			if r.startsOver(now, w) {
+				r.startOver(i, "no server of its software version")
+				w = r.toScheduleItem(i)
+			}
+			if w.Service != "" {
 				out = append(out, w)
 			} else if r.fleet.Config() != nil {
 				r.finish(i, Abandoned, refusal.ReasonNoRoute)
@@ -71,6 +76,7 @@
 		ID: i.ID, Group: i.Group, Model: i.job.head.Model, MinVersion: i.job.head.MinVersion,
 		DueAt: r.localTime(i.job.head.DueAt), NotBefore: i.notBefore, Avoid: i.avoid,
 		Remaining: r.remaining(i), ReadyAt: i.readyAt,
+		Software: i.progress.software(), Produced: i.progress.After * r.tokensPerEvent(),
 	}
 	if target, ok := r.route(i); ok {
 		w.Service = target.Service(i.ID)
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/control/step"
 )
@@ -51,6 +52,7 @@
 		for _, i := range r.rerunCandidates(j) {
 			w := r.toScheduleItem(i)
 			w.MinVersion, w.ReadyAt, w.NotBefore = r.fleet.Version(j.head.Model), now, time.Time{}
+			w.Software = r.rerunSoftware(i, w)
 			byID[i.ID] = i
 			candidates = append(candidates, w)
 		}
@@ -77,6 +79,20 @@
 	}
 }
 
+// rerunSoftware returns the software version that generated the text of an item's rerun,
+// if that goes on: its weights are new enough, and some server can continue it.
+func (r *Runner) rerunSoftware(i *item, w schedule.Item) option.Option[string] {
+	rerun := r.returning[i.ID]
+	if rerun == nil || rerun.progress.oldestWeights() < w.MinVersion {
+		return option.Option[string]{}
+	}
+	w.Software = rerun.progress.software()
+	if r.compatible(w) == 0 {
+		return option.Option[string]{}
+	}
+	return w.Software
+}
+
 // limitsRate reports whether a server limits its rate: reruns leave its slots to others.
 func (r *Runner) limitsRate(id string) bool {
 	s, ok := r.fleet.Servers().Get(id)
--- a/internal/front/batch/reward_test.go
+++ b/internal/front/batch/reward_test.go
@@ -54,7 +54,7 @@
 	k := next.add(j.head)
 	next.addItems(k, []Item{j.items["1"].Item}, nil, checkpoints)
 	must.True(t, k.items["1"].awaitsScore())
-	must.SliceEmpty(t, next.waiting())
+	must.SliceEmpty(t, next.waiting(time.Now()))
 }
 
 // TestCompleteTextIsPreferred joins the checkpoints of two daemons that ran the
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -63,6 +63,9 @@
 
 // startOn starts a run of an item on a server. It is called with the mutex held.
 func (r *Runner) startOn(ctx context.Context, i *item, s backend.Server) {
+	if !i.progress.continuesOn(s) {
+		r.startOver(i, "placed on another software version")
+	}
 	c, cancel := context.WithCancel(ctx)
 	i.stop, i.server, i.started, i.moving, i.timer = cancel, s.ID, false, false, paceTimer{}
 	i.lastServer, i.lastSoftware = s.ID, s.Software
@@ -109,6 +112,7 @@
 	case errors.Is(err, backend.ErrNotSent):
 		r.paces.backOff(s.ID, unreachableBackoff)
 		i.avoid = s.ID
+	case errors.Is(err, errSoftwareChanged):
 	case errors.Is(err, errOldWeights):
 		i.notBefore = now.Add(refusedItemBackoff)
 		i.avoid = s.ID
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -185,7 +185,7 @@
 	if !r.leaving && r.hasOpenItems() {
 		survey, servers := r.servers()
 		r.moveItems(now, survey, servers)
-		waiting := r.waiting()
+		waiting := r.waiting(now)
 		placements := survey.Place(now, waiting, servers)
 		for _, p := range placements {
 			r.start(ctx, p)
--- a/internal/front/batch/write.go
+++ b/internal/front/batch/write.go
@@ -138,7 +138,7 @@
 		// Events are numbered from 1, so event n is at index n-1.
 		out = append(out, Checkpoint{
 			Item: i.ID, Lineage: i.progress.Lineage, From: i.checkpointed, To: to, Data: i.progress.Data[i.checkpointed:to],
-			Weights: i.progress.Weights, Complete: i.progress.Complete && to == i.progress.After,
+			Weights: i.progress.Weights, Software: i.progress.Software, Complete: i.progress.Complete && to == i.progress.After,
 			Failures: i.progress.Failures, RewardFailures: i.progress.RewardFailures,
 		})
 	}
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -189,7 +189,7 @@
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
 		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(), Ahead: d.fleet.Clock.Ahead(time.Now()),
-		Suspects: d.forwarder.Suspects(), Rates: rates, Demands: demands,
+		Suspects: d.forwarder.Suspects(), Rates: rates, Demands: demands, Software: d.fleet.Software(), Streams: d.forwarder.Streams(),
 	}
 }
 
--- a/internal/front/fleet/fleet.go
+++ b/internal/front/fleet/fleet.go
@@ -70,6 +70,12 @@
 	serverRows   []store.Row
 	// leaving holds the servers that announced their shutdown in a response.
 	leaving leavingServers
+	// software holds the software versions in the servers' rows, and reportedSoftware
+	// those that daemons report.
+	software         softwareVersions
+	reportedSoftware softwareVersions
+	// streams holds the software versions that began the streams in daemons' rows.
+	streams map[uint64]string
 }
 
 // New returns a State that is empty until its Serve methods run.
--- a/internal/front/fleet/liveness.go
+++ b/internal/front/fleet/liveness.go
@@ -107,6 +107,15 @@
 	return m
 }
 
+// all returns the daemons that have rows, also those that are considered dead.
+func (l *liveness) all() []Member {
+	out := make([]Member, 0, len(l.daemons))
+	for _, s := range l.daemons {
+		out = append(out, s.member)
+	}
+	return out
+}
+
 // expired returns the IDs of the daemons whose rows can be removed.
 func (l *liveness) expired() []string {
 	var ids []string
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -55,6 +55,12 @@
 	// Demands holds, for servers that limit their rates, the number of requests that the
 	// daemon sent lately and of those that wait, by server incarnation.
 	Demands map[string]float64
+	// Software holds the software versions of the servers of each service that has
+	// several, as the daemon has seen them.
+	Software map[string][]string
+	// Streams holds the hashes of streams of these services, by the software version that
+	// began them.
+	Streams map[string][]uint64
 }
 
 // ServerRate is the rate that a server allows to all daemons together.
@@ -178,6 +184,7 @@
 	for _, id := range l.update(s.Rows, sentAt) {
 		f.log.Info("daemon considered dead", zap.String("Member", id))
 	}
+	f.recordReportedSoftware(l.all())
 	m := l.alive()
 	if before := len(f.Members().List); before != len(m.List) {
 		f.log.Info("number of daemons alive changed", zap.Int("Before", before), zap.Int("Now", len(m.List)))
--- a/internal/front/fleet/servers.go
+++ b/internal/front/fleet/servers.go
@@ -106,6 +106,7 @@
 	rows := slices.Collect(maps.Values(d.rows))
 	f.mutex.Lock()
 	f.serverRows = rows
+	f.recordSoftware(read)
 	f.servers.Store(f.leaving.apply(d.snapshot(), now))
 	f.mutex.Unlock()
 	f.pruneWeights()
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -176,7 +176,7 @@
 	if c.sent >= c.route.MaxServers {
 		return false
 	}
-	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.tried)
+	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.mayTry)
 	if !ok {
 		return false
 	}
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	base "github.com/lacewingtally/lacewingtally/internal/base/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
@@ -39,6 +40,9 @@
 
 	// ArrivedAt is when the request's header was read.
 	ArrivedAt time.Time
+	// Resumes is the ID of the caller's attempt that brought the first event of the
+	// stream that this request continues; empty if it continues none.
+	Resumes string
 }
 
 // Sink receives a response.
@@ -66,6 +70,7 @@
 	// self is the daemon's ID in the fleet.
 	self     string
 	suspects suspects
+	origins  origins
 }
 
 // call is the state of one request.
@@ -79,6 +84,11 @@
 	sink        Sink
 	// tried holds the IDs of the servers tried in the current round.
 	tried map[string]bool
+	// software is the version of the servers' software that began the stream; empty
+	// before the first event.
+	software option.Option[string]
+	// recorded is whether the stream's origin has been recorded.
+	recorded bool
 	// ran is whether a server may have started to run it.
 	ran bool
 	// refused is whether a server has stated that it did not run it.
@@ -202,6 +212,11 @@
 	return c.balancer.ShortestDelay(c.fleet.Servers().List, c.service)
 }
 
+// mayTry reports whether the request may be sent to a server in the current round.
+func (c *call) mayTry(s backend.Server) bool {
+	return !c.tried[s.ID] && c.software.Or(s.Software) == s.Software
+}
+
 // repeatable reports whether the request may run more than once.
 func (c *call) repeatable() bool {
 	return c.route.Kind == route.Safe
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -1,27 +1,44 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
+	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/front/sse"
 )
 
+// Causes of the refusal of a stream that a caller takes up.
+var (
+	errUnknownOrigin = errors.New("forward: software version of the stream is not known")
+	errOriginGone    = errors.New("forward: no server of the stream's software version")
+)
+
+// retryAfterUnknownOrigin is the delay after which a caller should take a stream up again
+// whose origin is not known: by then another daemon's heartbeat may contain it.
+const retryAfterUnknownOrigin = 400 * time.Millisecond
+
 // stream passes events on to the caller as they arrive. If the connection is lost,
 // a resumable stream continues on another server.
 func (c *call) stream(ctx context.Context) error {
+	if err := c.findOrigin(); err != nil {
+		return err
+	}
 	started := false
 	cause := errNoServer
 	for ctx.Err() == nil {
-		s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.tried)
-		if !ok && !started {
+		s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.mayTry)
+		if !ok && (!started || !c.hasServer()) {
 			break
 		}
 		if !ok {
@@ -88,7 +105,56 @@
 			return err
 		}
 		c.request.ResumeAfter = e.ID
+		c.recordOrigin(s)
+	}
+}
+
+// findOrigin determines the software version that can continue the stream that the caller
+// takes up, if it does. It returns a refusal if that version is not known although there
+// are several, or if none of its servers is left.
+func (c *call) findOrigin() error {
+	if c.request.ResumeAfter == 0 {
+		return nil
+	}
+	k := c.streamKey()
+	software, known := c.origins.software(k)
+	if !known {
+		software, known = c.fleet.StreamSoftware(uint64(k))
+	}
+	if !known && c.fleet.MixedSoftware(c.service) {
+		return refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(retryAfterUnknownOrigin), errUnknownOrigin)
 	}
+	if !known {
+		return nil
+	}
+	c.software = option.Some(software)
+	if !c.hasServer() {
+		return refusal.NotRun(refusal.ReasonNoServer, time.Time{}, errOriginGone)
+	}
+	return nil
+}
+
+// recordOrigin records that a server has sent an event that was passed on.
+func (c *call) recordOrigin(s backend.Server) {
+	if c.recorded {
+		return
+	}
+	c.recorded = true
+	c.software = option.Some(s.Software)
+	c.origins.record(c.streamKey(), c.service, s.Software)
+}
+
+// streamKey returns the key of the stream: that of the attempt that brought its first
+// event.
+func (c *call) streamKey() streamKey {
+	return streamKeyOf(c.request.Workspace, cmp.Or(c.request.Resumes, c.request.ID))
+}
+
+// hasServer reports whether a server is in use that can run the request.
+func (c *call) hasServer() bool {
+	return slices.ContainsFunc(c.fleet.Servers().List, func(s backend.Server) bool {
+		return s.Service == c.service && !s.Draining && c.software.Or(s.Software) == s.Software
+	})
 }
 
 // copyResponse passes on a response that is not a stream.
