Place items again after servers crashed under them

A trainer's item whose reward call three servers crashed under was held in quarantine for two minutes, beyond its step; in the own interface, two crashes under a sample gave its generation up, and its group was abandoned for good. The cause in both: work that was handed in to be run later was treated like a caller's request that may crash servers.

Reward calls are now sent again after 1 s, 2 s and then each 4 s, to one server at a time. Samples are Owed: crashes do not give them up or count against them, and abandoning a group for them is removed.

--- a/internal/caller/proxy/generator.go
+++ b/internal/caller/proxy/generator.go
@@ -97,7 +97,7 @@
 			Deadline:    r.Deadline,
 			SpotAllowed: r.SpotAllowed,
 		},
-		run: attempt.Run{Deadline: r.Deadline, Repeatable: true},
+		run: attempt.Run{Deadline: r.Deadline, Repeatable: true, Owed: r.Class == fleet.Training},
 	}
 	return p.do(ctx, x.attempt)
 }
--- a/internal/caller/proxy/placement.go
+++ b/internal/caller/proxy/placement.go
@@ -83,7 +83,7 @@
 // server is reserved for the request, as it is for a suspect.
 func (p *placement) acquire(ctx context.Context) (gate.Grant, bool, error) {
 	for {
-		e := p.options.Suspects.Check(time.Now(), p.fingerprint)
+		e := p.suspicion()
 		if e.Status == quarantine.Quarantined {
 			return gate.Grant{}, false, refusal.GaveUp(refusal.ReasonQuarantine, e.Until, nil)
 		}
@@ -106,6 +106,14 @@
 	}
 }
 
+// suspicion returns the quarantine's entry of the request; an owed request has none.
+func (p *placement) suspicion() quarantine.Entry {
+	if p.run.Owed {
+		return quarantine.Entry{}
+	}
+	return p.options.Suspects.Check(time.Now(), p.fingerprint)
+}
+
 // acquireOnce requests a server that is neither excluded nor in reserved, and
 // reports whether to request one again. The wait is limited to excludeTimeout,
 // because the gate applies the same exclusions for the whole wait while servers
@@ -194,6 +202,9 @@
 		c.Boot = e.Boot
 	}
 	p.options.record(p.event(timeline.ServerCrashed, g.Server.ID))
+	if p.run.Owed {
+		return nil
+	}
 	if p.options.Suspects.RecordCrash(ctx, p.fingerprint, c, reserved) != quarantine.Quarantined {
 		return nil
 	}
--- a/internal/caller/rollout/driver.go
+++ b/internal/caller/rollout/driver.go
@@ -158,9 +158,6 @@
 	if errors.As(err, &r) {
 		retryAt = r.RetryAt
 	}
-	if r != nil && errors.Is(r, refusal.ErrGaveUp) && r.Reason == refusal.ReasonQuarantine {
-		d.abandon(ctx, s.Group.ID)
-	}
 	// The context of the loop ends with the driver's.
 	_ = d.loop.Do(context.WithoutCancel(ctx), func(now time.Time) {
 		d.cancels[stop]()
@@ -169,29 +166,6 @@
 	})
 }
 
-// abandon gives up a group whose prompt crashes the servers that run it. The
-// trainer's spare groups replace it.
-func (d *driver) abandon(ctx context.Context, id batch.GroupID) {
-	var found batch.Pending
-	err := d.loop.Do(ctx, func(time.Time) {
-		for _, p := range d.dispatcher.Groups() {
-			if p.Group == id {
-				found = p
-			}
-		}
-	})
-	if err != nil || found.Group == "" {
-		return
-	}
-	if err := d.deps.Ledger.Abandon(ctx, d.trainer, found); err != nil {
-		return
-	}
-	_ = d.loop.Do(ctx, func(time.Time) { d.dispatcher.Remove(id) })
-	d.deps.Events.Record(timeline.Event{
-		Kind: timeline.SampleDiscarded, Workspace: d.trainer.Workspace, Detail: string(id) + ": quarantined",
-	})
-}
-
 // grantedKeys returns the hashes of the workspace's granted keys; none while
 // the view is not confirmed.
 func (d *driver) grantedKeys(now time.Time) set.Set[string] {
--- a/internal/caller/rollout/rollout_test.go
+++ b/internal/caller/rollout/rollout_test.go
@@ -49,12 +49,22 @@
 	unversioned int
 	// cutAt is the token at which the first attempt at each sample fails.
 	cutAt int
+	// crashing is how many of the next generations are given up because their servers
+	// crashed.
+	crashing int
 }
 
 func (g *generator) Generate(ctx context.Context, r gate.Generation, emit func(engine.Chunk) error) error {
 	g.mutex.Lock()
 	g.started++
+	crashed := g.crashing > 0
+	if crashed {
+		g.crashing--
+	}
 	g.mutex.Unlock()
+	if crashed {
+		return refusal.GaveUp(refusal.ReasonQuarantine, time.Now().Add(time.Second), nil)
+	}
 	n := max(1, g.burst)
 	for i := r.Offset; i < r.MaxTokens; i += n {
 		select {
@@ -254,6 +264,23 @@
 	})
 }
 
+// TestGroupIsAbandonedAfterServerCrashes lets servers crash under samples in a burst. All
+// groups are still owed, so that both batches must be formed.
+func TestGroupIsAbandonedAfterServerCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.generator.crashing = 5
+		d := f.startDaemon(t, 1)
+		defer d.stop()
+		must.NoError(t, submit(t, d, "k", 4))
+		for cursor := range uint64(2) {
+			got, err := fetch(t, d, cursor+1)
+			must.NoError(t, err)
+			must.Len(t, 6, got.GetSamples())
+		}
+	})
+}
+
 func TestWeightSwapDuringGenerationSplitsSegments(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t)
--- a/internal/control/attempt/run.go
+++ b/internal/control/attempt/run.go
@@ -75,11 +75,14 @@
 	Deadline time.Time
 	// Repeatable requests may run more than once.
 	Repeatable bool
+	// Owed requests are not given up because servers crashed while they ran: they were
+	// submitted to be run later and are no cause of crashes.
+	Owed bool
 
 	// attempts counts the started attempts; it never exceeds maxAttempts.
 	attempts int
 	// crashes counts the attempts whose server crashed; it never exceeds
-	// crashLimit.
+	// crashLimit unless the request is Owed.
 	crashes int
 	// state is the state of the latest attempt. It returns from Sent to NotSent
 	// only if no byte was sent or the server refused the attempt.
@@ -131,7 +134,7 @@
 	if result == ResultStopped {
 		return r.refuse(refusal.ReasonCancelled, time.Time{}, cause)
 	}
-	if r.crashes >= crashLimit {
+	if r.crashes >= crashLimit && !r.Owed {
 		e := refusal.GaveUp(refusal.ReasonQuarantine, now.Add(retryAfter), cause)
 		return Decision{Action: Refuse, Refusal: e}
 	}
--- a/internal/control/attempt/run_test.go
+++ b/internal/control/attempt/run_test.go
@@ -158,3 +158,15 @@
 		}
 	}
 }
+
+// TestOwedRequestSurvivesCrashes lets more servers crash under a request than others may
+// crash: it must be retried.
+func TestOwedRequestSurvivesCrashes(t *testing.T) {
+	r := attempt.Run{Deadline: now.Add(time.Minute), Repeatable: true, Owed: true}
+	for range 5 {
+		must.True(t, r.Begin())
+		must.EqOp(t, attempt.Retry, r.End(now, attempt.ResultCrashed, nil).Action)
+	}
+	must.True(t, r.Begin())
+	must.EqOp(t, attempt.Deliver, r.End(now, attempt.ResultComplete, nil).Action)
+}
--- a/internal/control/batch/ledger.go
+++ b/internal/control/batch/ledger.go
@@ -46,29 +46,6 @@
 	return &Ledger{objects: o, table: t, incarnation: i}
 }
 
-// Abandon drops a pending group without generating it. It returns
-// ErrGroupChanged if the group is no longer pending in that round.
-func (l *Ledger) Abandon(ctx context.Context, t Trainer, p Pending) error {
-	rows, err := l.table.Read(ctx, t.pending(p.Group))
-	if err != nil {
-		return err
-	}
-	known, err := decode[Pending](rows[0])
-	if err != nil {
-		return err
-	}
-	if rows[0].Version == 0 || known.Round != p.Round {
-		return ErrGroupChanged
-	}
-	done, err := put(t.group(p.Group), groupRow{})
-	if err != nil {
-		return err
-	}
-	return l.commit(ctx,
-		[]table.Condition{{Key: rows[0].Key, Version: rows[0].Version}},
-		[]table.Write{{Key: rows[0].Key, Delete: true}, done})
-}
-
 // Acknowledge records that the trainer has received all batches up to and
 // including cursor. It removes rows and objects that are no longer needed. It
 // returns ErrCursor if the batch at cursor has not been formed.
--- a/internal/control/batch/rows.go
+++ b/internal/control/batch/rows.go
@@ -14,11 +14,10 @@
 // headPrefix is the key prefix of all trainers' heads.
 const headPrefix = table.Key("Rollout/Head/")
 
-// groupRow is the stored row of a group. Once the group is in a batch or
-// abandoned, the row stays without its content, so that submitting the group
-// again changes nothing.
+// groupRow is the stored row of a group. Once the group is in a batch, the row stays
+// without its content, so that submitting the group again changes nothing.
 type groupRow struct {
-	// Group is absent once the group is in a batch or abandoned.
+	// Group is absent once the group is in a batch, or was abandoned by an earlier build.
 	Group *Group `json:",omitempty"`
 }
 
--- a/internal/control/reward/reward_test.go
+++ b/internal/control/reward/reward_test.go
@@ -119,3 +119,15 @@
 		}
 	})
 }
+
+// TestProbesGrowApart covers a call during which servers fail again and again: in a minute
+// it may be sent about fifteen times.
+func TestProbesGrowApart(t *testing.T) {
+	elapsed, sent := time.Duration(0), 0
+	for elapsed < time.Minute {
+		elapsed += reward.ProbeDelay(sent)
+		sent++
+	}
+	must.Between(t, 14, sent, 18)
+	must.Eq(t, time.Second, reward.ProbeDelay(0))
+}
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -24,9 +24,6 @@
 	rewardTimeout = 2 * time.Second
 	// maxRewardBytes limits how much of the response to a reward call is read.
 	maxRewardBytes = 4 << 20
-	// quarantineDelay is the time between two checks whether a reward call is still in
-	// quarantine.
-	quarantineDelay = time.Second
 )
 
 // Suspects counts the server failures during requests, over all daemons.
@@ -53,6 +50,10 @@
 	avoid string
 	// unanswered is the number of attempts without an answer.
 	unanswered int
+	// probes is the number of attempts after too many servers had failed during the call,
+	// and probeAt the earliest time of the next one.
+	probes  int
+	probeAt time.Time
 }
 
 // rewardOwner is an item that awaits its score, with its job and the route of its
@@ -215,17 +216,14 @@
 	return reward.Share{Rank: rank, Daemons: len(runners)}
 }
 
-// startReward sends an item's reward call to a server, unless the call is in
-// quarantine. It is called with the mutex held.
+// startReward sends an item's reward call to a server, unless too many servers failed
+// during it lately. It is called with the mutex held.
 func (r *Runner) startReward(ctx context.Context, o rewardOwner, s backend.Server) {
 	i := o.item
 	now := time.Now()
 	req := o.request(now)
 	p := quarantine.FingerprintOf(base.Workspace(""), req.Method, req.Target, string(req.Body))
-	if r.suspects.Quarantined(p) {
-		i.reward.notBefore = now.Add(quarantineDelay)
-		r.log.Warn("reward call in quarantine", zap.String("Job", o.item.job.head.ID), zap.String("Item", i.ID),
-			zap.String("Reward", req.ID), zap.String("Reason", string(refusal.ReasonQuarantine)))
+	if r.suspects.Quarantined(p) && !r.mayProbe(i, now) {
 		return
 	}
 	for id := range i.reward.stops {
@@ -242,6 +240,30 @@
 	go r.runReward(c, o, s, req, p)
 }
 
+// mayProbe reports whether the reward call of an item may be sent although servers failed
+// while they ran it: the item is still owed, and servers that fail in quick succession say
+// little about the call. It is sent to one server at a time, at growing intervals. mayProbe
+// is called with the mutex held.
+func (r *Runner) mayProbe(i *item, now time.Time) bool {
+	c := &i.reward
+	if len(c.stops) > 0 {
+		return false
+	}
+	if c.probeAt.IsZero() {
+		c.probeAt = now.Add(reward.ProbeDelay(0))
+	}
+	if now.Before(c.probeAt) {
+		c.notBefore = c.probeAt
+		r.log.Warn("reward call held back after server failures", zap.String("Job", i.job.head.ID), zap.String("Item", i.ID),
+			zap.String("Reward", i.Reward.ID), zap.String("Reason", string(refusal.ReasonQuarantine)), zap.Int("Probes", c.probes),
+			zap.Duration("Delay", c.probeAt.Sub(now)))
+		return false
+	}
+	c.probes++
+	c.probeAt = now.Add(reward.ProbeDelay(c.probes))
+	return true
+}
+
 // request returns the request of an item's reward call. It has no workspace.
 func (o rewardOwner) request(now time.Time) backend.Request {
 	timeout := rewardTimeout
