Cut off responses without end, and take none of them for an answer

Limits that cut a body short did so silently: callers got the first 4 MB of a failure as the complete response, a reward call scored its item, an order counted as accepted, and a 422 or 500 without end gave an item up. The cause: bounds on parts, each at its own place.

backend.ReadBody and DiscardBody read all bodies; more than the limit is an incomplete response.

--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -22,7 +22,7 @@
 	// rewardTimeout limits one attempt of a reward call whose route sets no lower
 	// limit.
 	rewardTimeout = 2 * time.Second
-	// maxRewardBytes limits how much of the response to a reward call is read.
+	// maxRewardBytes limits the response to a reward call.
 	maxRewardBytes = 4 << 20
 )
 
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -66,7 +65,7 @@
 	if !i.progress.continuesOn(s) {
 		r.startOver(i, "placed on another software version")
 	}
-	c, cancel := context.WithCancel(ctx)
+	c, cancel := context.WithTimeout(ctx, itemTimeout)
 	i.stop, i.server, i.started, i.moving, i.timer = cancel, s.ID, false, false, paceTimer{}
 	i.lastServer, i.lastSoftware = s.ID, s.Software
 	i.runs++
@@ -194,10 +193,7 @@
 		r.fleet.RecordLoaded(s.Incarnation(), head.Model, resp.Weights)
 	}
 	if resp.Status != http.StatusOK || resp.NotRun {
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil {
-			return resp.Status, errors.Wrap(backend.ErrIncomplete, err.Error())
-		}
-		return resp.Status, nil
+		return resp.Status, backend.DiscardBody(resp.Body, maxDiscardBytes)
 	}
 	if resp.Weights < head.MinVersion {
 		return resp.Status, errors.Wrapf(errOldWeights, "version %d", resp.Weights)
@@ -205,7 +201,7 @@
 	return resp.Status, r.readEvents(i, head.Model, s, resp)
 }
 
-// maxDiscardBytes limits how much of an unused response body is read.
+// maxDiscardBytes limits a response body that is not used.
 const maxDiscardBytes = 64 << 10
 
 // route returns the route of an item by the configuration in effect.
--- a/internal/front/batch/score.go
+++ b/internal/front/batch/score.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -63,9 +62,7 @@
 	}
 	defer resp.Body.Close()
 	o := rewardOutcome{status: resp.Status, notRun: resp.NotRun, stamp: resp.Stamp, load: resp.Load}
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRewardBytes)); err != nil {
-		o.err = errors.Wrap(backend.ErrIncomplete, err.Error())
-	}
+	o.err = backend.DiscardBody(resp.Body, maxRewardBytes)
 	return o
 }
 
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -217,11 +215,6 @@
 	}
 	defer resp.Body.Close()
 	o.status, o.header, o.notRun, o.load = resp.Status, resp.Header, resp.NotRun, resp.Load
-	var b bytes.Buffer
-	if _, err := io.Copy(&b, io.LimitReader(resp.Body, maxBufferedBytes+1)); err != nil || b.Len() > maxBufferedBytes {
-		o.err = errors.Wrapf(backend.ErrIncomplete, "after %d bytes", b.Len())
-		return o
-	}
-	o.body = b.Bytes()
+	o.body, o.err = backend.ReadBody(resp.Body, maxBufferedBytes)
 	return o
 }
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -159,9 +159,9 @@
 
 // copyResponse passes on a response that is not a stream.
 func (c *call) copyResponse(resp *backend.Response) error {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	b, err := backend.ReadBody(resp.Body, maxBufferedBytes)
 	if err != nil {
-		return errors.Wrap(backend.ErrIncomplete, err.Error())
+		return err
 	}
 	return c.deliver(outcome{status: resp.Status, header: resp.Header, body: b})
 }
--- a/internal/front/forward/stream_test.go
+++ b/internal/front/forward/stream_test.go
@@ -86,3 +86,25 @@
 		must.Len(t, 2, c.servers)
 	})
 }
+
+// TestEndlessResponseInsteadOfAStream answers a request for a stream with a failure whose
+// body never ends: no part of it may be passed on as the complete response.
+func TestEndlessResponseInsteadOfAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeClient{do: func(_ context.Context, n int, _ backend.Server) (*backend.Response, error) {
+			if n == 1 {
+				return &backend.Response{Status: http.StatusBadGateway, Body: io.NopCloser(endless{}), Length: -1}, nil
+			}
+			return eventStream(1, 3, false), nil
+		}}
+		sink, err := runStream(t, true, c)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, sink.status)
+		must.Len(t, 2, c.servers)
+	})
+}
+
+// endless is a reader without end.
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/front/sse/sse.go
+++ b/internal/front/sse/sse.go
@@ -13,8 +13,13 @@
 // ErrTruncated is returned when a stream ends in the middle of an event.
 var ErrTruncated = errors.New("sse: stream ended within an event")
 
-// maxLineBytes is the maximum length of a line.
-const maxLineBytes = 1 << 20
+// ErrTooLong is returned when an event is longer than maxEventBytes: a faulty server may
+// send bytes without end.
+var ErrTooLong = errors.New("sse: event too long")
+
+// maxEventBytes is the maximum length of an event, with its comments and the empty lines
+// before it.
+const maxEventBytes = 256 << 10
 
 // Event is a server-sent event.
 type Event struct {
@@ -38,13 +43,14 @@
 }
 
 // Next returns the next complete event. At the end of the stream its error is
-// io.EOF, or ErrTruncated if the stream ends within an event.
+// io.EOF, or ErrTruncated if the stream ends within an event. It is ErrTooLong if the event
+// is too long.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	var data []string
 	inEvent := false
 	for {
-		line, raw, err := r.line()
+		line, raw, err := r.line(maxEventBytes - len(e.Raw))
 		e.Raw = append(e.Raw, raw...)
 		if err != nil {
 			if errors.Is(err, io.EOF) && (inEvent || line != "") {
@@ -82,13 +88,17 @@
 	}
 }
 
-// line returns the next line without its line ending, and its raw bytes.
-func (r *Reader) line() (string, []byte, error) {
+// line returns the next line without its line ending, and its raw bytes. Its error is
+// ErrTooLong if these are more than limit.
+func (r *Reader) line(limit int) (string, []byte, error) {
 	var line []byte
 	for {
 		part, err := r.lines.ReadSlice('\n')
 		line = append(line, part...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(line) < maxLineBytes {
+		if len(line) > limit {
+			return "", nil, ErrTooLong
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		text := strings.TrimSuffix(strings.TrimSuffix(string(line), "\n"), "\r")
--- a/internal/front/sse/sse_test.go
+++ b/internal/front/sse/sse_test.go
@@ -67,3 +67,27 @@
 		_, _ = read(strings.NewReader(text))
 	})
 }
+
+// endlessReader repeats a text without end, and counts the bytes read.
+type endlessReader struct {
+	text string
+	read int
+}
+
+func (e *endlessReader) Read(b []byte) (int, error) {
+	for n := range b {
+		b[n] = e.text[(e.read+n)%len(e.text)]
+	}
+	e.read += len(b)
+	return len(b), nil
+}
+
+// TestEndlessEventIsCutOff reads events that never end, in one line or in many.
+func TestEndlessEventIsCutOff(t *testing.T) {
+	for _, text := range []string{"data", "data: a\n", ": comment\n", "\n", "unknown: field\n"} {
+		r := &endlessReader{text: text}
+		_, err := sse.NewReader(r).Next()
+		must.ErrorIs(t, err, sse.ErrTooLong, must.Sprint(text))
+		must.Less(t, 1<<20, r.read)
+	}
+}
