Let all daemons agree on the owner of each slot of a server's rate

Shares changed with each heartbeat, and were applied to slots up to a second old: a slot that one daemon had used could become another's while it was still valid.

Shares now change only between epochs of 3 s, and depend on demands that have had an epoch to reach all daemons, so that all compute the same owner. The replays report and read demands at different times.

--- a/internal/control/ratelimit/ratelimit.go
+++ b/internal/control/ratelimit/ratelimit.go
@@ -11,7 +11,9 @@
 // It is designed for two loads: all daemons begin to send to a server at the same moment,
 // and few of many daemons have requests for it. Shares therefore follow the demand that
 // the daemons reported, and a part of the rate is divided evenly, for those whose demand
-// is not known yet.
+// is not known yet. Shares change only between epochs of the clock, and depend on demands
+// that all daemons have had an epoch to learn of, so that they agree on the owner of each
+// slot.
 package ratelimit
 
 import (
@@ -23,8 +25,6 @@
 	// MinRate is the lowest rate that is used, in requests per second. The end of a
 	// limit is noticed only in the response to a request.
 	MinRate = 0.25
-	// evenShare is the part of the rate that is divided evenly.
-	evenShare = 0.2
 	// maxSlotAge is for how long a slot may be used after its time, in addition to the
 	// time between two slots.
 	maxSlotAge = 500 * time.Millisecond
@@ -40,41 +40,6 @@
 	fractionBits = 53
 )
 
-// Share is the part of the slots that belongs to one daemon: those whose position is at
-// least From and below To. The zero value has no slots.
-type Share struct {
-	From, To float64
-}
-
-// All is the share of a daemon that is alone.
-var All = Share{From: 0, To: 1}
-
-// ShareOf returns the share of the daemon with an index, given the demands of all
-// daemons in the same order everywhere. The shares of all daemons do not overlap.
-func ShareOf(demands []float64, index int) Share {
-	total := 0.0
-	for _, d := range demands {
-		total += d
-	}
-	s := Share{}
-	for i, d := range demands {
-		s.From = s.To
-		s.To += fraction(d, total, len(demands))
-		if i == index {
-			return s
-		}
-	}
-	return Share{}
-}
-
-// fraction returns the part of the slots of a daemon with a demand.
-func fraction(demand, total float64, daemons int) float64 {
-	if total <= 0 {
-		return 1 / float64(daemons)
-	}
-	return evenShare/float64(daemons) + (1-evenShare)*demand/total
-}
-
 // Slots are one daemon's slots at one server. The zero value has used none. Its methods
 // take the time by the clock that the daemons share. It is not safe for concurrent use.
 type Slots struct {
@@ -82,17 +47,22 @@
 	usedUntil time.Time
 }
 
-// Next returns the time of the first slot of a share that is not used, has not expired at
-// now and is not later than until. It returns false if there is none.
-func (s *Slots) Next(now, until time.Time, rate float64, share Share) (time.Time, bool) {
+// Next returns the time of the first slot of this daemon that is not used, has not expired
+// at now and is not later than until. It returns false if there is none. share returns the
+// daemon's share in an epoch.
+func (s *Slots) Next(now, until time.Time, rate float64, share func(Epoch) Share) (time.Time, bool) {
 	rate = max(rate, MinRate)
 	n := s.first(now, rate)
+	epoch, current := Epoch(-1), Share{}
 	for range maxSteps {
 		at := slotTime(n, rate)
 		if at.After(until) {
 			return time.Time{}, false
 		}
-		if share.contains(n) {
+		if e := EpochOf(at); e != epoch {
+			epoch, current = e, share(e)
+		}
+		if current.contains(n) {
 			return at, true
 		}
 		n++
@@ -105,9 +75,9 @@
 	s.usedUntil = at
 }
 
-// Free returns how many slots of a share that are not later than until can be used at
+// Free returns how many slots of this daemon that are not later than until can be used at
 // now, at most a number.
-func (s *Slots) Free(now, until time.Time, rate float64, share Share, most int) int {
+func (s *Slots) Free(now, until time.Time, rate float64, share func(Epoch) Share, most int) int {
 	rest := *s
 	n := 0
 	for ; n < most; n++ {
--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -33,24 +33,41 @@
 	sent    int
 }
 
+// heartbeat is the time between two reports of a daemon in replays. Each daemon reads the
+// reports of all at another moment of it.
+const heartbeat = 300 * time.Millisecond
+
 // replay lets daemons send whatever waits whenever they may, and returns the times of
-// all requests. Each second the demands are reported: what waits and what was sent since.
+// all requests. Daemons report what waits and what they sent lately, and read the reports of
+// the others, at different times.
 func replay(daemons []*daemon, rate func(at time.Duration) float64, length time.Duration, arrive func(at time.Duration, d []*daemon)) []time.Duration {
 	var sent []time.Duration
-	demands := make([]float64, len(daemons))
+	reported := make([]ratelimit.Demand, len(daemons))
+	known := make([][]ratelimit.Demand, len(daemons))
+	for n := range known {
+		known[n] = slices.Clone(reported)
+	}
 	lastSent := make([]int, len(daemons))
 	for at := time.Duration(0); at < length; at += tick {
 		arrive(at, daemons)
-		if at%time.Second == 0 {
-			for n, d := range daemons {
-				demands[n] = float64(d.waiting + d.sent - lastSent[n])
-				lastSent[n] = d.sent
+		for n, d := range daemons {
+			phase := time.Duration(n%7) * 40 * time.Millisecond
+			if at%heartbeat == phase {
+				next := reported[n].Advance(ratelimit.EpochOf(start.Add(at+d.ahead)), float64(d.waiting+d.sent-lastSent[n]))
+				if next != reported[n] {
+					lastSent[n] = d.sent
+				}
+				reported[n] = next
+			}
+			if at%heartbeat == (phase+120*time.Millisecond)%heartbeat {
+				known[n] = slices.Clone(reported)
 			}
 		}
 		for n, d := range daemons {
 			now := start.Add(at + d.ahead)
+			share := func(e ratelimit.Epoch) ratelimit.Share { return ratelimit.ShareOf(known[n], n, e) }
 			for d.waiting > 0 {
-				slot, ok := d.slots.Next(now, now, rate(at), ratelimit.ShareOf(demands, n))
+				slot, ok := d.slots.Next(now, now, rate(at), share)
 				if !ok {
 					break
 				}
@@ -84,6 +101,9 @@
 	return out
 }
 
+// all is the share of a daemon that is alone.
+func all(ratelimit.Epoch) ratelimit.Share { return ratelimit.Share{To: 1} }
+
 func constant(rate float64) func(time.Duration) float64 {
 	return func(time.Duration) float64 { return rate }
 }
@@ -155,10 +175,14 @@
 
 func TestSharesDoNotOverlap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		demands := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 50).Draw(t, "demands")
+		levels := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 50).Draw(t, "demands")
+		demands := make([]ratelimit.Demand, len(levels))
+		for n, level := range levels {
+			demands[n] = ratelimit.Demand{Epoch: ratelimit.Epoch(5 + n%2), Last: level, Previous: level / 2}
+		}
 		end := 0.0
 		for n := range demands {
-			s := ratelimit.ShareOf(demands, n)
+			s := ratelimit.ShareOf(demands, n, 6)
 			if s.From != end || s.To <= s.From {
 				t.Fatalf("share %d is %v after %v", n, s, end)
 			}
@@ -177,7 +201,7 @@
 	last := time.Time{}
 	n := 0
 	for {
-		at, ok := s.Next(start, start.Add(2*time.Second), 3, ratelimit.All)
+		at, ok := s.Next(start, start.Add(2*time.Second), 3, all)
 		if !ok {
 			break
 		}
@@ -188,18 +212,33 @@
 		n++
 	}
 	must.Between(t, 6, n, 9)
-	must.Eq(t, 0, s.Free(start.Add(2*time.Second), start.Add(2*time.Second), 3, ratelimit.All, 5))
-	must.Eq(t, 1, s.Free(start.Add(2400*time.Millisecond), start.Add(2400*time.Millisecond), 3, ratelimit.All, 5))
+	must.Eq(t, 0, s.Free(start.Add(2*time.Second), start.Add(2*time.Second), 3, all, 5))
+	must.Eq(t, 1, s.Free(start.Add(2400*time.Millisecond), start.Add(2400*time.Millisecond), 3, all, 5))
 }
 
 // TestClockSetBack reserves a slot by a clock that is then set back by hours.
 func TestClockSetBack(t *testing.T) {
 	var s ratelimit.Slots
 	s.Use(start.Add(5 * time.Hour))
-	_, ok := s.Next(start, start, 5, ratelimit.All)
+	_, ok := s.Next(start, start, 5, all)
 	must.True(t, ok)
 }
 
+// TestDemandIsUsedAnEpochLater checks that shares depend on what daemons reported an epoch
+// ago, whether or not a newer report has arrived.
+func TestDemandIsUsedAnEpochLater(t *testing.T) {
+	var d ratelimit.Demand
+	d = d.Advance(5, 10).Advance(5, 99)
+	next := d.Advance(6, 30)
+	other := ratelimit.Demand{Epoch: 5, Last: 10}
+	want := ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 6)
+	must.Eq(t, 0.5, want.To)
+	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{next, other}, 0, 6))
+	must.Greater(t, 0.6, ratelimit.ShareOf([]ratelimit.Demand{next, other}, 0, 7).To)
+	// Reports that stopped long ago keep their last value.
+	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 50))
+}
+
 func TestLoans(t *testing.T) {
 	var l ratelimit.Loans
 	must.True(t, l.Take(start))
@@ -211,8 +250,8 @@
 
 func BenchmarkNext(b *testing.B) {
 	var s ratelimit.Slots
-	share := ratelimit.ShareOf(make([]float64, 300), 150)
+	share := ratelimit.ShareOf(make([]ratelimit.Demand, 300), 150, 0)
 	for b.Loop() {
-		s.Next(start, start, 100, share)
+		s.Next(start, start, 100, func(ratelimit.Epoch) ratelimit.Share { return share })
 	}
 }
--- /dev/null
+++ b/internal/control/ratelimit/share.go
@@ -0,0 +1,81 @@
+package ratelimit
+
+import "time"
+
+const (
+	// evenShare is the part of the rate that is divided evenly.
+	evenShare = 0.2
+	// epochLength is longer than heartbeats take to reach all daemons.
+	epochLength = 3 * time.Second
+)
+
+// Epoch is the number of a span of time on the clock that the daemons share. Shares do not
+// change within an epoch.
+type Epoch int64
+
+// EpochOf returns the epoch that contains a time.
+func EpochOf(t time.Time) Epoch {
+	return Epoch(t.UnixMilli() / epochLength.Milliseconds())
+}
+
+// Demand is a daemon's demand at one server, in requests, as it reports it to the others.
+// The zero value is none.
+type Demand struct {
+	// Epoch is the epoch at whose beginning the demand was Last, and Previous what it was
+	// at the beginning of the epoch before.
+	Epoch          Epoch
+	Last, Previous float64
+}
+
+// Advance returns the demand to report in an epoch: the first call in an epoch determines
+// what it is at the epoch's beginning.
+func (d Demand) Advance(e Epoch, level float64) Demand {
+	switch {
+	case d.Epoch == e:
+		return d
+	case d.Epoch == e-1:
+		return Demand{Epoch: e, Last: level, Previous: d.Last}
+	}
+	return Demand{Epoch: e, Last: level}
+}
+
+// before returns the demand on which shares in an epoch depend: that at the beginning of
+// the epoch before. If nothing newer has been reported, it is the last one.
+func (d Demand) before(e Epoch) float64 {
+	if d.Epoch >= e {
+		return d.Previous
+	}
+	return d.Last
+}
+
+// Share is the part of the slots that belongs to one daemon: those whose position is at
+// least From and below To. The zero value has no slots.
+type Share struct {
+	From, To float64
+}
+
+// ShareOf returns the share in an epoch of the daemon with an index, given the demands of
+// all daemons in the same order everywhere. The shares of all daemons do not overlap.
+func ShareOf(demands []Demand, index int, e Epoch) Share {
+	total := 0.0
+	for _, d := range demands {
+		total += d.before(e)
+	}
+	s := Share{}
+	for i, d := range demands {
+		s.From = s.To
+		s.To += fraction(d.before(e), total, len(demands))
+		if i == index {
+			return s
+		}
+	}
+	return Share{}
+}
+
+// fraction returns the part of the slots of a daemon with a demand.
+func fraction(demand, total float64, daemons int) float64 {
+	if total <= 0 {
+		return 1 / float64(daemons)
+	}
+	return evenShare/float64(daemons) + (1-evenShare)*demand/total
+}
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
 )
 
@@ -54,7 +55,7 @@
 	Rates map[string]ServerRate
 	// Demands holds, for servers that limit their rates, the number of requests that the
 	// daemon sent lately and of those that wait, by server incarnation.
-	Demands map[string]float64
+	Demands map[string]ratelimit.Demand
 	// Software holds the software versions of the servers of each service that has
 	// several, as the daemon has seen them.
 	Software map[string][]string
--- a/internal/front/throttle/limits.go
+++ b/internal/front/throttle/limits.go
@@ -62,6 +62,8 @@
 	slots  ratelimit.Slots
 	loans  ratelimit.Loans
 	demand demand
+	// reported is the demand in the heartbeats.
+	reported ratelimit.Demand
 	// liveAt is when a live request was last sent or refused.
 	liveAt time.Time
 }
@@ -209,21 +211,20 @@
 
 // Report returns what the daemon's heartbeat contains: the rates that servers named to
 // this daemon, and its demands. It forgets servers that are gone.
-func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]float64) {
+func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]ratelimit.Demand) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.prune()
 	rates := make(map[string]fleet.ServerRate)
-	demands := make(map[string]float64)
+	demands := make(map[string]ratelimit.Demand)
 	for id, o := range l.observed {
 		if rate, ok := o.rate.Get(); ok {
 			rates[id] = fleet.ServerRate{Rate: rate, NamedAt: o.at}
 		}
 	}
 	for id, v := range l.servers {
-		if d := v.demand.at(time.Now()); d > 0 {
-			demands[id] = d
-		}
+		v.reported = v.reported.Advance(ratelimit.EpochOf(l.now()), v.demand.at(time.Now()))
+		demands[id] = v.reported
 	}
 	return rates, demands
 }
@@ -254,19 +255,19 @@
 }
 
 // limited returns the state of a server that limits its rate, the rate and this daemon's
-// share; ok is false if it does not. It is called with the mutex held.
-func (l *Limits) limited(s backend.Server) (v *server, rate float64, share ratelimit.Share, ok bool) {
+// share in each epoch; ok is false if it does not. It is called with the mutex held.
+func (l *Limits) limited(s backend.Server) (v *server, rate float64, share func(ratelimit.Epoch) ratelimit.Share, ok bool) {
 	id := s.Incarnation()
 	rate, ok = l.latest(id).rate.Get()
 	if !ok {
-		return nil, 0, ratelimit.Share{}, false
+		return nil, 0, nil, false
 	}
 	v = l.servers[id]
 	if v == nil {
 		v = &server{}
 		l.servers[id] = v
 	}
-	return v, rate, l.reports().share(id), true
+	return v, rate, l.reports().shareAt(id), true
 }
 
 // latest returns the latest observation of a server's rate, by this daemon or another.
--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -8,6 +8,10 @@
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
+// maxShares limits the shares that are kept: during an outage of the store, the list of
+// daemons stays the same.
+const maxShares = 1024
+
 // reports is what the heartbeats of one member list contain about limited servers.
 type reports struct {
 	members *fleet.Members
@@ -16,7 +20,13 @@
 	// latest holds the latest rate that a daemon reports, by server incarnation.
 	latest map[string]observation
 	// shares holds the shares of this daemon that have been computed.
-	shares map[string]ratelimit.Share
+	shares map[shareKey]ratelimit.Share
+}
+
+// shareKey identifies a share at a server.
+type shareKey struct {
+	incarnation string
+	epoch       ratelimit.Epoch
 }
 
 // reports returns what the latest heartbeats contain. It is called with the mutex held.
@@ -25,7 +35,7 @@
 	if l.lastReports != nil && l.lastReports.members == m {
 		return l.lastReports
 	}
-	r := &reports{members: m, self: len(m.List), latest: make(map[string]observation), shares: make(map[string]ratelimit.Share)}
+	r := &reports{members: m, self: len(m.List), latest: make(map[string]observation), shares: make(map[shareKey]ratelimit.Share)}
 	if i := slices.IndexFunc(m.List, func(o fleet.Member) bool { return o.ID == l.self }); i >= 0 {
 		r.self = i
 	}
@@ -43,18 +53,29 @@
 	return r
 }
 
-// share returns this daemon's share of the rate of a server. All daemons compute the
-// shares from the demands in the heartbeats, also their own, so that the shares do not
-// overlap while the lists are the same.
-func (r *reports) share(incarnation string) ratelimit.Share {
-	if s, ok := r.shares[incarnation]; ok {
+// shareAt returns this daemon's share of the rate of a server in each epoch. All daemons
+// compute the shares from the demands in the heartbeats, also their own, so that the shares
+// do not overlap while the lists of daemons are the same.
+func (r *reports) shareAt(incarnation string) func(ratelimit.Epoch) ratelimit.Share {
+	return func(e ratelimit.Epoch) ratelimit.Share {
+		k := shareKey{incarnation, e}
+		s, ok := r.shares[k]
+		if !ok {
+			if len(r.shares) >= maxShares {
+				clear(r.shares)
+			}
+			s = ratelimit.ShareOf(r.demands(incarnation), r.self, e)
+			r.shares[k] = s
+		}
 		return s
 	}
-	demands := make([]float64, max(len(r.members.List), r.self+1))
+}
+
+// demands returns the demands of all daemons at a server.
+func (r *reports) demands(incarnation string) []ratelimit.Demand {
+	out := make([]ratelimit.Demand, max(len(r.members.List), r.self+1))
 	for n, o := range r.members.List {
-		demands[n] = o.Demands[incarnation]
+		out[n] = o.Demands[incarnation]
 	}
-	s := ratelimit.ShareOf(demands, r.self)
-	r.shares[incarnation] = s
-	return s
+	return out
 }
