Do not hedge requests to servers that limit their rates, and let callers wait for a slot

Two slots were spent on one request when a hedge went to a server in need; and a live request that could have had a slot of its own within its deadline was refused after 75 ms on usual routes. Hedges, of live requests and reward calls, now leave out such servers, and a live request may wait for its own slot for 0.3 of the time until its deadline, 0.5 s at most; without a slot in that time it is refused at once, as before.

--- a/internal/control/reward/reward.go
+++ b/internal/control/reward/reward.go
@@ -55,6 +55,9 @@
 	ID      string
 	Service string
 	Slots   int
+	// Limited is whether the server limits its rate. It gets no calls that another server
+	// runs already.
+	Limited bool
 	// Running is the number of this daemon's requests on the server, live ones
 	// included.
 	Running int
@@ -161,6 +164,9 @@
 		if s.Service != c.Service || s.Running >= s.Slots || slices.Contains(c.Servers, s.ID) {
 			continue
 		}
+		if s.Limited && len(c.Servers) > 0 {
+			continue
+		}
 		if best < 0 || c.prefers(s, servers[best]) {
 			best = i
 		}
--- a/internal/control/reward/reward_test.go
+++ b/internal/control/reward/reward_test.go
@@ -131,3 +131,13 @@
 	must.Between(t, 14, sent, 18)
 	must.Eq(t, time.Second, reward.ProbeDelay(0))
 }
+
+// TestLimitedServerGetsNoHedges offers a server that limits its rate for a call that is
+// late on another one, and for a call that no server runs.
+func TestLimitedServerGetsNoHedges(t *testing.T) {
+	now := time.Now()
+	servers := []reward.Server{{ID: "b", Service: "r", Slots: 6, Limited: true}}
+	late := reward.Call{ID: "late", Service: "r", Servers: []string{"a"}, SentAt: now.Add(-time.Second)}
+	must.SliceEmpty(t, reward.Place(now, []reward.Call{late}, servers, reward.Share{Daemons: 1}))
+	must.Len(t, 1, reward.Place(now, []reward.Call{{ID: "new", Service: "r"}}, servers, reward.Share{Daemons: 1}))
+}
--- a/internal/front/balance/balance.go
+++ b/internal/front/balance/balance.go
@@ -32,14 +32,21 @@
 type Balancer struct {
 	// Domain is the daemon's failure domain.
 	Domain string
-	// Delay returns the time until a request may be sent to a server that limits its
-	// rate. If nil, no server does.
-	Delay func(backend.Server) time.Duration
+	// Limits knows the servers that limit their rates. If nil, no server does.
+	Limits Limits
 
 	mutex   sync.Mutex
 	servers map[string]*serverStats
 }
 
+// Limits knows the rates that servers allow.
+type Limits interface {
+	// Delay returns the time until a request may be sent to a server.
+	Delay(s backend.Server) time.Duration
+	// Limited reports whether a server limits its rate.
+	Limited(s backend.Server) bool
+}
+
 // Estimate is the state of a server as known to this daemon.
 type Estimate struct {
 	// Cost is the expected duration of a request, in milliseconds.
@@ -93,15 +100,20 @@
 func (b *Balancer) ShortestDelay(servers []backend.Server, service string) time.Duration {
 	shortest := option.Option[time.Duration]{}
 	for _, s := range servers {
-		if s.Service != service || s.Draining || b.Delay == nil {
+		if s.Service != service || s.Draining || b.Limits == nil {
 			continue
 		}
-		d := b.Delay(s)
+		d := b.Limits.Delay(s)
 		shortest = option.Some(min(d, shortest.Or(d)))
 	}
 	return shortest.Or(0)
 }
 
+// Limited reports whether a server limits its rate.
+func (b *Balancer) Limited(s backend.Server) bool {
+	return b.Limits != nil && b.Limits.Limited(s)
+}
+
 // Estimate returns the state of a server.
 func (b *Balancer) Estimate(s backend.Server) Estimate {
 	b.mutex.Lock()
@@ -167,8 +179,8 @@
 	if s.Domain != b.Domain {
 		c += crossDomainMillis
 	}
-	if b.Delay != nil {
-		c += float64(b.Delay(s)) / float64(time.Millisecond)
+	if b.Limits != nil {
+		c += float64(b.Limits.Delay(s)) / float64(time.Millisecond)
 	}
 	if now.Before(r.backoffUntil) {
 		c += float64(failureBackoff / time.Millisecond)
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -203,7 +203,7 @@
 		}
 		e := r.balancer.Estimate(s)
 		out = append(out, reward.Server{
-			ID: s.ID, Service: s.Service, Slots: min(s.Slots, e.Running+r.limits.Free(s, s.Slots)), Running: e.Running, Cost: e.Cost, CallCost: e.RequestCost,
+			ID: s.ID, Service: s.Service, Slots: min(s.Slots, e.Running+r.limits.Free(s, s.Slots)), Limited: r.limits.Limited(s), Running: e.Running, Cost: e.Cost, CallCost: e.RequestCost,
 		})
 	}
 	return out
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -138,7 +138,7 @@
 	d.meter = duty.NewMeter(d.fleet, d.relay, self, s.Bounds.UsageWindow, log)
 	d.limits = throttle.NewLimits(d.fleet, self, log)
 	client := throttle.NewClient(p.Servers(observer{d.fleet, d.limits}), d.limits)
-	balancer := &balance.Balancer{Domain: s.Domain, Delay: d.limits.Delay}
+	balancer := &balance.Balancer{Domain: s.Domain, Limits: d.limits}
 	d.forwarder = forward.New(d.fleet, client, balancer, d.meter, p.Metrics, self, log)
 	d.runner = batch.NewRunner(d.fleet, ledger, client, d.limits, balancer, d.forwarder, p.Metrics, self, log)
 	d.runner.Handle(&d.mux)
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -64,18 +64,18 @@
 	var last outcome
 	hedge := time.NewTimer(c.hedgeDelay())
 	defer hedge.Stop()
-	launch := func() {
-		if c.launch(ctx, results) {
+	launch := func(allowed func(backend.Server) bool) {
+		if c.launch(ctx, results, allowed) {
 			running++
 		}
 	}
-	launch()
+	launch(c.mayTry)
 	for {
 		if running == 0 {
 			if !c.retryAll(ctx, last) {
 				return c.giveUp(ctx, last)
 			}
-			launch()
+			launch(c.mayTry)
 			continue
 		}
 		select {
@@ -88,11 +88,11 @@
 			last = better(last, o)
 			c.logFailure(o)
 			if c.repeatable() || !c.ran {
-				launch()
+				launch(c.mayTry)
 			}
 		case <-hedge.C:
 			if c.repeatable() {
-				launch()
+				launch(c.mayHedge)
 			}
 		case <-ctx.Done():
 			c.ran = c.ran || running > 0
@@ -168,13 +168,19 @@
 	return max(minHedgeDelay, time.Duration(hedgeFraction*float64(c.route.Objective)))
 }
 
-// launch starts an attempt on the best server that was not tried yet. It reports
-// whether one was started.
-func (c *call) launch(ctx context.Context, results chan<- outcome) bool {
+// mayHedge reports whether the request may also be sent to a server while another one
+// runs it. Servers that limit their rates are left to requests that nobody runs.
+func (c *call) mayHedge(s backend.Server) bool {
+	return c.mayTry(s) && !c.balancer.Limited(s)
+}
+
+// launch starts an attempt on the best of the allowed servers. It reports whether one was
+// started.
+func (c *call) launch(ctx context.Context, results chan<- outcome, allowed func(backend.Server) bool) bool {
 	if c.sent >= c.route.MaxServers {
 		return false
 	}
-	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.mayTry)
+	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, allowed)
 	if !ok {
 		return false
 	}
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -28,9 +28,10 @@
 	// retryAfterUnavailable is the delay after which a caller should retry if no server or no
 	// configuration is available.
 	retryAfterUnavailable = 150 * time.Millisecond
-	// limitWaitFraction is the fraction of the route's objective for which a request may
-	// wait for servers that limit their rates, and maxLimitWait bounds that time.
-	limitWaitFraction = 0.5
+	// limitWaitFraction is the fraction of the time until its deadline for which a request
+	// may wait for a slot of a server that limits its rate, and maxLimitWait bounds that
+	// time. The slot is its own, so it waits only if it will be sent.
+	limitWaitFraction = 0.3
 	maxLimitWait      = 500 * time.Millisecond
 )
 
@@ -161,7 +162,7 @@
 			q.Deadline = end
 		}
 	}
-	q.SendBy = q.ArrivedAt.Add(min(maxLimitWait, time.Duration(limitWaitFraction*float64(r.Objective))))
+	q.SendBy = q.ArrivedAt.Add(min(maxLimitWait, time.Duration(limitWaitFraction*float64(q.Deadline.Sub(q.ArrivedAt)))))
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	fingerprint := quarantine.FingerprintOf(base.Workspace(workspace), q.Method, q.Target, string(q.Body))
--- a/internal/front/forward/forward_test.go
+++ b/internal/front/forward/forward_test.go
@@ -267,3 +267,35 @@
 		}
 	})
 }
+
+// limitedServer is balance.Limits with one server that limits its rate.
+type limitedServer struct{ id string }
+
+func (l limitedServer) Delay(backend.Server) time.Duration { return 0 }
+
+func (l limitedServer) Limited(s backend.Server) bool { return s.ID == l.id }
+
+// TestLimitedServerIsNotHedgedTo lets the first server be slow while the other one limits
+// its rate: the request must stay at the first server.
+func TestLimitedServerIsNotHedgedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &fakeClient{do: func(context.Context, int, backend.Server) (*backend.Response, error) {
+			time.Sleep(500 * time.Millisecond)
+			return okResponse(), nil
+		}}
+		f, _ := newForwarder(t, c)
+		first, ok := f.balancer.Choose(f.fleet.Servers().List, "s", func(backend.Server) bool { return true })
+		must.True(t, ok)
+		f.balancer.Cancel(first.ID)
+		for _, s := range f.fleet.Servers().List {
+			if s.ID != first.ID {
+				f.balancer.Limits = limitedServer{s.ID}
+			}
+		}
+		r := route.Route{Kind: route.Safe, MaxServers: 2, Objective: 200 * time.Millisecond, MaxWait: time.Second, Services: []route.WeightedService{{Service: "s", Weight: 1}}}
+		now := time.Now()
+		req := Request{Request: backend.Request{ID: "r", Method: "POST", Deadline: now.Add(time.Second)}, ArrivedAt: now}
+		must.NoError(t, f.Do(t.Context(), r, "w", req, &recordedResponse{}))
+		must.Eq(t, []string{first.ID}, c.servers)
+	})
+}
