--- a/internal/control/ratelimit/share.go
+++ b/internal/control/ratelimit/share.go
@@ -30,10 +30,10 @@
 // Advance returns the demand to report in an epoch: the first call in an epoch determines
 // what it is at the epoch's beginning.
 func (d Demand) Advance(e Epoch, level float64) Demand {
-	switch {
-	case d.Epoch == e:
+	switch d.Epoch {
+	case e:
 		return d
-	case d.Epoch == e-1:
+	case e - 1:
 		return Demand{Epoch: e, Last: level, Previous: d.Last}
 	}
 	return Demand{Epoch: e, Last: level}
