--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
@@ -29,6 +30,45 @@
 	epoch       ratelimit.Epoch
 }
 
+// Report returns what the daemon's heartbeat contains: the rates that servers named to
+// this daemon, and its demands. It forgets servers that are gone.
+func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]ratelimit.Demand) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.prune()
+	rates := make(map[string]fleet.ServerRate)
+	demands := make(map[string]ratelimit.Demand)
+	for id, o := range l.observed {
+		if rate, ok := o.rate.Get(); ok {
+			rates[id] = fleet.ServerRate{Rate: rate, NamedAt: o.at}
+		}
+	}
+	for id, v := range l.servers {
+		v.reported = v.reported.Advance(ratelimit.EpochOf(l.now()), v.demand.at(time.Now()))
+		demands[id] = v.reported
+	}
+	return rates, demands
+}
+
+// prune forgets servers that have not been listed for retention. It is called with the
+// mutex held.
+func (l *Limits) prune() {
+	listed := make(map[string]bool)
+	for _, s := range l.fleet.Servers().List {
+		listed[s.Incarnation()] = true
+	}
+	for id, o := range l.observed {
+		if !listed[id] && l.now().Sub(o.at) > retention {
+			delete(l.observed, id)
+		}
+	}
+	for id := range l.servers {
+		if _, limited := l.latest(id).rate.Get(); !limited {
+			delete(l.servers, id)
+		}
+	}
+}
+
 // reports returns what the latest heartbeats contain. It is called with the mutex held.
 func (l *Limits) reports() *reports {
 	m := l.fleet.Members()
