Report the end of a server's limit to the other daemons

Each daemon noticed the end of a limit only in a response to a request of its own. One with little demand has few slots (with 60 daemons and a rate of 1, one in 300 s), so it would have refused live requests for minutes after the limit had ended. Found on reading the code; TestReportedEndIsObeyed fails without the change.

Heartbeats contain the end of a limit for half a minute; the latest answer to any daemon counts.

--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -51,7 +51,8 @@
 	// Paces holds the recently observed time between two events of a stream, by
 	// server.
 	Paces map[string]time.Duration
-	// Rates holds the rates that servers named to the daemon, by server incarnation.
+	// Rates holds what servers answered the daemon about their rates, by server
+	// incarnation.
 	Rates map[string]ServerRate
 	// Demands holds, for servers that limit their rates, the number of requests that the
 	// daemon sent lately and of those that wait, by server incarnation.
@@ -64,12 +65,15 @@
 	Streams map[string][]uint64
 }
 
-// ServerRate is the rate that a server allows to all daemons together.
+// ServerRate is what a server answered about the rate that it allows to all daemons
+// together.
 type ServerRate struct {
-	// Rate is in requests per second.
+	// Rate is in requests per second; it has no meaning if Ended is set.
 	Rate float64
-	// NamedAt is when the server last named it, by the store's clock.
-	NamedAt time.Time
+	// Ended is whether the server no longer limits its rate.
+	Ended bool
+	// At is the time of the latest answer, by the store's clock.
+	At time.Time
 }
 
 // SuspectServers counts the failures of servers while they ran one request, by the hash
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -62,9 +62,27 @@
 	l.lastReports = reported
 	must.True(t, l.Limited(limited))
 	rates, _ := l.Report()
-	must.MapEmpty(t, rates, must.Sprint("a daemon reports only what servers named to itself"))
+	must.MapEmpty(t, rates, must.Sprint("a daemon reports only what servers answered to itself"))
 	l.RecordLimit(limited, option.Option[float64]{}, time.Now())
 	must.False(t, l.Limited(limited))
+	rates, _ = l.Report()
+	must.True(t, rates[limited.Incarnation()].Ended)
+}
+
+// TestReportedEndIsObeyed lets another daemon report that a server no longer limits its
+// rate: this one might not send it a request for minutes.
+func TestReportedEndIsObeyed(t *testing.T) {
+	l := newLimits()
+	name(l, 1, time.Now())
+	time.Sleep(time.Millisecond)
+	l.lastReports = &reports{members: l.fleet.Members(), latest: map[string]observation{
+		limited.Incarnation(): observationOf(fleet.ServerRate{Ended: true, At: time.Now()}),
+	}}
+	must.False(t, l.Limited(limited))
+	must.Eq(t, 7, l.Free(limited, 7))
+	time.Sleep(time.Millisecond)
+	name(l, 1, time.Now())
+	must.True(t, l.Limited(limited))
 }
 
 // TestZeroRateIsTried names a rate of 0: the end of the limit must be noticed.
--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"time"
+	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
@@ -13,6 +14,10 @@
 // daemons stays the same.
 const maxShares = 1024
 
+// endedReportTime is for how long a daemon reports the end of a limit: a daemon with a small
+// share might notice it only after minutes by itself.
+const endedReportTime = 30 * time.Second
+
 // reports is what the heartbeats of one member list contain about limited servers.
 type reports struct {
 	members *fleet.Members
@@ -30,8 +35,16 @@
 	epoch       ratelimit.Epoch
 }
 
-// Report returns what the daemon's heartbeat contains: the rates that servers named to
-// this daemon, and its demands. It forgets servers that are gone.
+// observationOf returns the observation that another daemon reports.
+func observationOf(s fleet.ServerRate) observation {
+	if s.Ended {
+		return observation{at: s.At}
+	}
+	return observation{rate: option.Some(s.Rate), at: s.At}
+}
+
+// Report returns what the daemon's heartbeat contains: what servers answered this daemon
+// about their rates, and its demands. It forgets servers that are gone.
 func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]ratelimit.Demand) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -39,8 +52,9 @@
 	rates := make(map[string]fleet.ServerRate)
 	demands := make(map[string]ratelimit.Demand)
 	for id, o := range l.observed {
-		if rate, ok := o.rate.Get(); ok {
-			rates[id] = fleet.ServerRate{Rate: rate, NamedAt: o.at}
+		rate, limited := o.rate.Get()
+		if limited || l.now().Sub(o.at) < endedReportTime {
+			rates[id] = fleet.ServerRate{Rate: rate, Ended: !limited, At: o.at}
 		}
 	}
 	for id, v := range l.servers {
@@ -84,8 +98,8 @@
 			continue
 		}
 		for id, s := range o.Rates {
-			if s.NamedAt.After(r.latest[id].at) {
-				r.latest[id] = observation{rate: option.Some(s.Rate), at: s.NamedAt}
+			if s.At.After(r.latest[id].at) {
+				r.latest[id] = observationOf(s)
 			}
 		}
 	}
