Do not begin a text under the version of a server that was replaced

If a server is replaced under its ID by one of another software version while a run begins there, the first events were recorded under the old version, and later runs would go on at servers of that one. The check of the row now covers the beginning of a text as well as its continuation.

--- a/internal/front/batch/events.go
+++ b/internal/front/batch/events.go
@@ -42,7 +42,7 @@
 	if e.ID != i.progress.After+1 {
 		return errors.Wrapf(backend.ErrIncomplete, "event %d after %d", e.ID, i.progress.After)
 	}
-	if r.replaced(s) && i.progress.After > 0 {
+	if r.replaced(s) {
 		r.startOver(i, "server replaced")
 		return errors.Wrapf(errSoftwareChanged, "server %s", s.ID)
 	}
