--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"time"
-	"time"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
 	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
