Forget an earlier number of waiting requests, and bound rates and clocks

After the shared clock was set back, no order could be lent to a limited server until it had caught up (TestLoans failed).

--- a/internal/control/ratelimit/loans.go
+++ b/internal/control/ratelimit/loans.go
@@ -19,7 +19,7 @@
 
 // Take reports whether a request may be sent at now, and counts it if so.
 func (l *Loans) Take(now time.Time) bool {
-	if now.Sub(l.lentAt[0]) < loanSpan {
+	if ago := now.Sub(l.lentAt[0]); 0 <= ago && ago < loanSpan {
 		return false
 	}
 	copy(l.lentAt[:], l.lentAt[1:])
--- a/internal/control/ratelimit/ratelimit.go
+++ b/internal/control/ratelimit/ratelimit.go
@@ -25,6 +25,9 @@
 	// MinRate is the lowest rate that is used, in requests per second. The end of a
 	// limit is noticed only in the response to a request.
 	MinRate = 0.25
+	// maxRate is the highest rate that is used, in requests per second: no server gets
+	// nearly as many.
+	maxRate = 1e5
 	// maxSlotAge is for how long a slot may be used after its time, in addition to the
 	// time between two slots.
 	maxSlotAge = 500 * time.Millisecond
@@ -51,7 +54,7 @@
 // at now and is not later than until. It returns false if there is none. share returns the
 // daemon's share in an epoch.
 func (s *Slots) Next(now, until time.Time, rate float64, share func(Epoch) Share) (time.Time, bool) {
-	rate = max(rate, MinRate)
+	rate = min(max(rate, MinRate), maxRate)
 	n := s.first(now, rate)
 	epoch, current := Epoch(-1), Share{}
 	for range maxSteps {
--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -1,6 +1,7 @@
 package ratelimit_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -216,6 +217,16 @@
 	must.Eq(t, 1, s.Free(start.Add(2400*time.Millisecond), start.Add(2400*time.Millisecond), 3, all, 5))
 }
 
+// TestExtremeRates covers rates that a faulty server might name.
+func TestExtremeRates(t *testing.T) {
+	for _, rate := range []float64{0, 1e-300, 1e6, math.MaxFloat64, math.Inf(1)} {
+		var s ratelimit.Slots
+		at, ok := s.Next(start, start.Add(10*time.Second), rate, all)
+		must.True(t, ok, must.Sprint(rate))
+		must.False(t, at.After(start.Add(10*time.Second)))
+	}
+}
+
 // TestClockSetBack reserves a slot by a clock that is then set back by hours.
 func TestClockSetBack(t *testing.T) {
 	var s ratelimit.Slots
@@ -246,6 +257,8 @@
 	must.False(t, l.Take(start.Add(2*time.Second)))
 	must.True(t, l.Take(start.Add(2600*time.Millisecond)))
 	must.False(t, l.Take(start.Add(2700*time.Millisecond)))
+	// The clock was set back.
+	must.True(t, l.Take(start.Add(-time.Hour)))
 }
 
 func BenchmarkNext(b *testing.B) {
--- a/internal/front/throttle/demand.go
+++ b/internal/front/throttle/demand.go
@@ -8,7 +8,7 @@
 const (
 	// demandSpan is the time over which sent requests are counted.
 	demandSpan = 2 * time.Second
-	// wantSpan is for how long waiting requests count after they were last reported.
+	// wantSpan is for how long the largest number of waiting requests counts.
 	wantSpan = time.Second
 )
 
@@ -31,10 +31,9 @@
 
 // want records the number of waiting requests.
 func (d *demand) want(now time.Time, requests int) {
-	if now.Sub(d.wantedAt) >= wantSpan || requests > d.waiting {
-		d.waiting = requests
+	if now.Sub(d.wantedAt) >= wantSpan || requests >= d.waiting {
+		d.waiting, d.wantedAt = requests, now
 	}
-	d.wantedAt = now
 }
 
 // at returns the demand at a time.
