Count compatible servers only for items with a text

Each step counted, for each waiting item, the servers that could go on with its text, also if it had none: with hundreds of waiting items and servers that is a cost for nothing. A log reason and a comment say what they mean.

--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -34,7 +34,7 @@
 			}
 			w := r.toScheduleItem(i)
 			if r.startsOver(now, w) {
-				r.startOver(i, "no server of its software version")
+				r.startOver(i, "no server of its software version in time")
 				w = r.toScheduleItem(i)
 			}
 			if w.Service != "" {
--- a/internal/front/batch/run.go
+++ b/internal/front/batch/run.go
@@ -112,6 +112,7 @@
 		r.paces.backOff(s.ID, unreachableBackoff)
 		i.avoid = s.ID
 	case errors.Is(err, errSoftwareChanged):
+		// The server may run it: its text has been discarded.
 	case errors.Is(err, errOldWeights):
 		i.notBefore = now.Add(refusedItemBackoff)
 		i.avoid = s.ID
--- a/internal/front/batch/software.go
+++ b/internal/front/batch/software.go
@@ -46,6 +46,9 @@
 
 // startsOver reports whether a waiting item gives its text up.
 func (r *Runner) startsOver(now time.Time, w schedule.Item) bool {
+	if _, ok := w.Software.Get(); !ok {
+		return false
+	}
 	return w.StartsOver(now, r.compatible(w), schedule.DefaultPace)
 }
 
