Divide a new limit by the demand at the server's service

Until demands at a server had been reported for an epoch (3 to 6 s), its rate was divided evenly. Heartbeats now contain the daemon's demand at each service, which stands in until then; TestNewLimitIsDividedByServiceDemand.

--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -44,9 +44,17 @@
 func replay(daemons []*daemon, rate func(at time.Duration) float64, length time.Duration, arrive func(at time.Duration, d []*daemon)) []time.Duration {
 	var sent []time.Duration
 	reported := make([]ratelimit.Demand, len(daemons))
-	known := make([][]ratelimit.Demand, len(daemons))
+	known := make([]map[ratelimit.Epoch]ratelimit.Share, len(daemons))
+	read := func(n int, at time.Duration) {
+		known[n] = make(map[ratelimit.Epoch]ratelimit.Share)
+		// Slots are at most some seconds old.
+		first, last := ratelimit.EpochOf(start.Add(at-5*time.Second)), ratelimit.EpochOf(start.Add(at+5*time.Second))
+		for e := first; e <= last; e++ {
+			known[n][e] = ratelimit.ShareOf(reported, n, e)
+		}
+	}
 	for n := range known {
-		known[n] = slices.Clone(reported)
+		read(n, 0)
 	}
 	lastSent := make([]int, len(daemons))
 	for at := time.Duration(0); at < length; at += tick {
@@ -61,12 +69,12 @@
 				reported[n] = next
 			}
 			if at%heartbeat == (phase+120*time.Millisecond)%heartbeat {
-				known[n] = slices.Clone(reported)
+				read(n, at)
 			}
 		}
 		for n, d := range daemons {
 			now := start.Add(at + d.ahead)
-			share := func(e ratelimit.Epoch) ratelimit.Share { return ratelimit.ShareOf(known[n], n, e) }
+			share := func(e ratelimit.Epoch) ratelimit.Share { return known[n][e] }
 			for d.waiting > 0 {
 				slot, ok := d.slots.Next(now, now, rate(at), share)
 				if !ok {
--- a/internal/control/ratelimit/share.go
+++ b/internal/control/ratelimit/share.go
@@ -1,6 +1,9 @@
 package ratelimit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// evenShare is the part of the rate that is divided evenly.
@@ -72,6 +75,12 @@
 	return Share{}
 }
 
+// HasDemand reports whether shares in an epoch depend on any demand; otherwise the rate is
+// divided evenly.
+func HasDemand(demands []Demand, e Epoch) bool {
+	return slices.ContainsFunc(demands, func(d Demand) bool { return d.before(e) > 0 })
+}
+
 // fraction returns the part of the slots of a daemon with a demand.
 func fraction(demand, total float64, daemons int) float64 {
 	if total <= 0 {
--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -184,13 +184,14 @@
 
 // member returns the daemon's description in its heartbeat.
 func (d *daemon) member() fleet.Member {
-	rates, demands := d.limits.Report()
-	return fleet.Member{
+	m := fleet.Member{
 		ID: d.self, Machine: d.settings.Machine, Domain: d.settings.Domain,
 		Address: d.settings.Listen.Peers, Share: d.settings.CoreShare,
 		Leaving: d.leaving.Load(), Loaded: d.weights.Loaded(), Running: d.runner.Running(), Paces: d.runner.Paces(), Ahead: d.fleet.Clock.Ahead(time.Now()),
-		Suspects: d.forwarder.Suspects(), Rates: rates, Demands: demands, Software: d.fleet.Software(), Streams: d.forwarder.Streams(),
+		Suspects: d.forwarder.Suspects(), Software: d.fleet.Software(), Streams: d.forwarder.Streams(),
 	}
+	d.limits.Report(&m)
+	return m
 }
 
 // ready reports whether the daemon should get new connections. A daemon that is
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -57,6 +57,9 @@
 	// Demands holds, for servers that limit their rates, the number of requests that the
 	// daemon sent lately and of those that wait, by server incarnation.
 	Demands map[string]ratelimit.Demand
+	// ServiceDemands holds the number of requests that the daemon sent lately to the
+	// servers of each service.
+	ServiceDemands map[string]ratelimit.Demand
 	// Software holds the software versions of the servers of each service that has
 	// several, as the daemon has seen them.
 	Software map[string][]string
--- a/internal/front/throttle/demand.go
+++ b/internal/front/throttle/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
 )
 
 const (
@@ -12,8 +14,21 @@
 	wantSpan = time.Second
 )
 
-// demand is a daemon's demand at one server: the requests that it sent within about
-// demandSpan and those that wait. The zero value has none.
+// reportedDemand is a demand with what the daemon reports of it to the others.
+type reportedDemand struct {
+	demand
+
+	reported ratelimit.Demand
+}
+
+// report returns what to report at a time by the clock that the daemons share.
+func (d *reportedDemand) report(now time.Time) ratelimit.Demand {
+	d.reported = d.reported.Advance(ratelimit.EpochOf(now), d.at(time.Now()))
+	return d.reported
+}
+
+// demand is a daemon's demand at one server or service: the requests that it sent within
+// about demandSpan and those that wait. The zero value has none.
 type demand struct {
 	// level is the decayed number of sent requests as of levelAt.
 	level   float64
--- a/internal/front/throttle/limits.go
+++ b/internal/front/throttle/limits.go
@@ -45,6 +45,8 @@
 	observed map[string]observation
 	// servers holds the state of servers that limit their rates, by incarnation.
 	servers map[string]*server
+	// services holds the demand at the servers of each service.
+	services map[string]*reportedDemand
 	// lastReports is the latest result of reports.
 	lastReports *reports
 }
@@ -61,9 +63,7 @@
 type server struct {
 	slots  ratelimit.Slots
 	loans  ratelimit.Loans
-	demand demand
-	// reported is the demand in the heartbeats.
-	reported ratelimit.Demand
+	demand reportedDemand
 	// liveAt is when a live request was last sent or refused.
 	liveAt time.Time
 }
@@ -78,7 +78,7 @@
 
 // NewLimits returns Limits for the daemon self, without any limited server.
 func NewLimits(f *fleet.State, self string, log *zap.Logger) *Limits {
-	return &Limits{fleet: f, log: log, self: self, observed: make(map[string]observation), servers: make(map[string]*server)}
+	return &Limits{fleet: f, log: log, self: self, observed: make(map[string]observation), servers: make(map[string]*server), services: make(map[string]*reportedDemand)}
 }
 
 // RecordLimit records the rate that a server named in its response to a request sent at
@@ -214,6 +214,7 @@
 func (l *Limits) reserve(s backend.Server, until time.Time) (time.Duration, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.service(s.Service).sent(time.Now())
 	v, rate, share, ok := l.limited(s)
 	if !ok {
 		return 0, true
@@ -247,7 +248,17 @@
 		v = &server{}
 		l.servers[id] = v
 	}
-	return v, rate, l.reports().shareAt(id), true
+	return v, rate, l.reports().shareAt(id, s.Service), true
+}
+
+// service returns the demand at the servers of a service. It is called with the mutex held.
+func (l *Limits) service(name string) *reportedDemand {
+	d := l.services[name]
+	if d == nil {
+		d = &reportedDemand{}
+		l.services[name] = d
+	}
+	return d
 }
 
 // latest returns the latest observation of a server's rate, by this daemon or another.
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/option"
+	"github.com/lacewingtally/lacewingtally/internal/control/ratelimit"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
@@ -61,12 +63,13 @@
 	}}
 	l.lastReports = reported
 	must.True(t, l.Limited(limited))
-	rates, _ := l.Report()
-	must.MapEmpty(t, rates, must.Sprint("a daemon reports only what servers answered to itself"))
+	var m fleet.Member
+	l.Report(&m)
+	must.MapEmpty(t, m.Rates, must.Sprint("a daemon reports only what servers answered to itself"))
 	l.RecordLimit(limited, option.Option[float64]{}, time.Now())
 	must.False(t, l.Limited(limited))
-	rates, _ = l.Report()
-	must.True(t, rates[limited.Incarnation()].Ended)
+	l.Report(&m)
+	must.True(t, m.Rates[limited.Incarnation()].Ended)
 }
 
 // TestReportedEndIsObeyed lets another daemon report that a server no longer limits its
@@ -85,6 +88,31 @@
 	must.True(t, l.Limited(limited))
 }
 
+// TestNewLimitIsDividedByServiceDemand lets a server name its first limit while few of many
+// daemons send requests to its service: they must have most of the rate from the start, until
+// their demands at the server itself are known.
+func TestNewLimitIsDividedByServiceDemand(t *testing.T) {
+	const epoch, daemons, senders = 10, 80, 8
+	list := &fleet.Members{}
+	for n := range daemons {
+		m := fleet.Member{ID: fmt.Sprintf("%03d", n)}
+		if n%(daemons/senders) == 0 {
+			m.ServiceDemands = map[string]ratelimit.Demand{"s": {Epoch: epoch, Last: 9, Previous: 9}}
+		}
+		list.List = append(list.List, m)
+	}
+	r := &reports{members: list, self: 10, shares: make(map[shareKey]ratelimit.Share)}
+	width := func(e ratelimit.Epoch) float64 {
+		s := r.shareAt("a", "s")(e)
+		return s.To - s.From
+	}
+	must.Greater(t, 0.1, width(epoch))
+	// Another daemon alone has a demand at the server itself.
+	list.List[3].Demands = map[string]ratelimit.Demand{"a": {Epoch: epoch, Last: 5}}
+	must.Greater(t, 0.1, width(epoch))
+	must.Less(t, 0.1, width(epoch+1))
+}
+
 // TestZeroRateIsTried names a rate of 0: the end of the limit must be noticed.
 func TestZeroRateIsTried(t *testing.T) {
 	l := newLimits()
--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -42,25 +42,28 @@
 	return observation{rate: option.Some(s.Rate), at: s.At}
 }
 
-// Report returns what the daemon's heartbeat contains: what servers answered this daemon
-// about their rates, and its demands. It forgets servers that are gone.
-func (l *Limits) Report() (map[string]fleet.ServerRate, map[string]ratelimit.Demand) {
+// Report adds to a heartbeat what servers answered this daemon about their rates, and its
+// demands. It forgets servers that are gone.
+func (l *Limits) Report(m *fleet.Member) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.prune()
-	rates := make(map[string]fleet.ServerRate)
-	demands := make(map[string]ratelimit.Demand)
+	now := l.now()
+	m.Rates = make(map[string]fleet.ServerRate)
 	for id, o := range l.observed {
 		rate, limited := o.rate.Get()
-		if limited || l.now().Sub(o.at) < endedReportTime {
-			rates[id] = fleet.ServerRate{Rate: rate, Ended: !limited, At: o.at}
+		if limited || now.Sub(o.at) < endedReportTime {
+			m.Rates[id] = fleet.ServerRate{Rate: rate, Ended: !limited, At: o.at}
 		}
 	}
+	m.Demands = make(map[string]ratelimit.Demand)
 	for id, v := range l.servers {
-		v.reported = v.reported.Advance(ratelimit.EpochOf(l.now()), v.demand.at(time.Now()))
-		demands[id] = v.reported
+		m.Demands[id] = v.demand.report(now)
+	}
+	m.ServiceDemands = make(map[string]ratelimit.Demand)
+	for name, d := range l.services {
+		m.ServiceDemands[name] = d.report(now)
 	}
-	return rates, demands
 }
 
 // prune forgets servers that have not been listed for retention. It is called with the
@@ -109,7 +112,7 @@
 // shareAt returns this daemon's share of the rate of a server in each epoch. All daemons
 // compute the shares from the demands in the heartbeats, also their own, so that the shares
 // do not overlap while the lists of daemons are the same.
-func (r *reports) shareAt(incarnation string) func(ratelimit.Epoch) ratelimit.Share {
+func (r *reports) shareAt(incarnation, service string) func(ratelimit.Epoch) ratelimit.Share {
 	return func(e ratelimit.Epoch) ratelimit.Share {
 		k := shareKey{incarnation, e}
 		s, ok := r.shares[k]
@@ -117,18 +120,25 @@
 			if len(r.shares) >= maxShares {
 				clear(r.shares)
 			}
-			s = ratelimit.ShareOf(r.demands(incarnation), r.self, e)
+			s = ratelimit.ShareOf(r.demands(incarnation, service, e), r.self, e)
 			r.shares[k] = s
 		}
 		return s
 	}
 }
 
-// demands returns the demands of all daemons at a server.
-func (r *reports) demands(incarnation string) []ratelimit.Demand {
+// demands returns the demands of all daemons at a server: as long as none has been
+// reported for an epoch, those at the servers of its service.
+func (r *reports) demands(incarnation, service string, e ratelimit.Epoch) []ratelimit.Demand {
 	out := make([]ratelimit.Demand, max(len(r.members.List), r.self+1))
 	for n, o := range r.members.List {
 		out[n] = o.Demands[incarnation]
 	}
+	if ratelimit.HasDemand(out, e) {
+		return out
+	}
+	for n, o := range r.members.List {
+		out[n] = o.ServiceDemands[service]
+	}
 	return out
 }
