Ask the other daemons for the origin of a young stream

While a service runs several software versions, a stream that a caller takes up at another daemon within a heartbeat or two of its first event was refused as not run, although the daemon that served it still runs.

--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -140,6 +140,8 @@
 	client := throttle.NewClient(p.Servers(observer{d.fleet, d.limits}), d.limits)
 	balancer := &balance.Balancer{Domain: s.Domain, Limits: d.limits}
 	d.forwarder = forward.New(d.fleet, client, balancer, d.meter, p.Metrics, self, log)
+	d.forwarder.Handle(&d.mux)
+	d.forwarder.AskPeers(d.calls, d.peers)
 	d.runner = batch.NewRunner(d.fleet, ledger, client, d.limits, balancer, d.forwarder, p.Metrics, self, log)
 	d.runner.Handle(&d.mux)
 	d.fleet.Handle(&d.mux)
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +20,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
+	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
 
 const (
@@ -72,6 +74,9 @@
 	self     string
 	suspects suspects
 	origins  origins
+	// caller calls the daemons that peers returns; both are nil until AskPeers.
+	caller wire.Caller
+	peers  func() []netip.AddrPort
 }
 
 // call is the state of one request.
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -31,7 +31,7 @@
 // stream passes events on to the caller as they arrive. If the connection is lost,
 // a resumable stream continues on another server.
 func (c *call) stream(ctx context.Context) error {
-	if err := c.findOrigin(); err != nil {
+	if err := c.findOrigin(ctx); err != nil {
 		return err
 	}
 	started := false
@@ -112,7 +112,7 @@
 // findOrigin determines the software version that can continue the stream that the caller
 // takes up, if it does. It returns a refusal if that version is not known although there
 // are several, or if none of its servers is left.
-func (c *call) findOrigin() error {
+func (c *call) findOrigin(ctx context.Context) error {
 	if c.request.ResumeAfter == 0 {
 		return nil
 	}
@@ -121,7 +121,11 @@
 	if !known {
 		software, known = c.fleet.StreamSoftware(uint64(k))
 	}
-	if !known && c.fleet.MixedSoftware(c.service) {
+	mixed := c.fleet.MixedSoftware(c.service)
+	if !known && mixed {
+		software, known = c.queryOrigin(ctx, k)
+	}
+	if !known && mixed {
 		return refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(retryAfterUnknownOrigin), errUnknownOrigin)
 	}
 	if !known {
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -37,6 +37,8 @@
 	KindHandOver    Kind = 12
 	KindCachedState Kind = 13
 	KindLoads       Kind = 14
+
+	KindStreamOrigin Kind = 15
 )
 
 // Caller calls other daemons. Its method may be called from any goroutine.
