--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -95,10 +95,10 @@
 // NewRunner returns a Runner for the daemon self. Reward calls share b and s with
 // live requests, which use the same servers.
 func NewRunner(
-	f *fleet.State, l Ledger, c backend.Client, x Limits, b *balance.Balancer, s Suspects, m *metrics.Metrics, self string, log *zap.Logger,
+	f *fleet.State, l Ledger, c backend.Client, limits Limits, b *balance.Balancer, s Suspects, m *metrics.Metrics, self string, log *zap.Logger,
 ) *Runner {
 	return &Runner{
-		balancer: b, client: c, fleet: f, ledger: l, limits: x, log: log, metrics: m, self: self, suspects: s,
+		balancer: b, client: c, fleet: f, ledger: l, limits: limits, log: log, metrics: m, self: self, suspects: s,
 		wake: make(chan struct{}, 1), jobs: make(map[string]*job), returning: make(map[string]*item),
 	}
 }
--- a/internal/peer/wire/wire.go
+++ b/internal/peer/wire/wire.go
@@ -23,21 +23,20 @@
 
 // Kinds of call. The numbers are part of the protocol.
 const (
-	KindPing        Kind = 1
-	KindAsk         Kind = 2
-	KindRelease     Kind = 3
-	KindRegister    Kind = 4
-	KindSummary     Kind = 5
-	KindSuspect     Kind = 6
-	KindEvents      Kind = 7
-	KindDemand      Kind = 8
-	KindView        Kind = 9
-	KindStatus      Kind = 10
-	KindStore       Kind = 11
-	KindHandOver    Kind = 12
-	KindCachedState Kind = 13
-	KindLoads       Kind = 14
-
+	KindPing         Kind = 1
+	KindAsk          Kind = 2
+	KindRelease      Kind = 3
+	KindRegister     Kind = 4
+	KindSummary      Kind = 5
+	KindSuspect      Kind = 6
+	KindEvents       Kind = 7
+	KindDemand       Kind = 8
+	KindView         Kind = 9
+	KindStatus       Kind = 10
+	KindStore        Kind = 11
+	KindHandOver     Kind = 12
+	KindCachedState  Kind = 13
+	KindLoads        Kind = 14
 	KindStreamOrigin Kind = 15
 )
 
