Keep the rates of servers over a restart of all daemons

Daemons took rates only from the heartbeats of live daemons. After all were killed at once, the new ones knew of no limit until the first answers, and sent a burst to servers in need. The rows of daemons that have ended stay for 30 s; their rates now count as well.

--- a/internal/front/fleet/liveness.go
+++ b/internal/front/fleet/liveness.go
@@ -98,24 +98,17 @@
 		}
 	}
 	m := &Members{}
-	for _, s := range newest {
-		if !s.dead {
+	for _, s := range l.daemons {
+		if !s.dead && newest[s.member.Machine] == s {
 			m.List = append(m.List, s.member)
+			continue
 		}
+		m.Ended = append(m.Ended, s.member)
 	}
 	slices.SortFunc(m.List, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return m
 }
 
-// all returns the daemons that have rows, also those that are considered dead.
-func (l *liveness) all() []Member {
-	out := make([]Member, 0, len(l.daemons))
-	for _, s := range l.daemons {
-		out = append(out, s.member)
-	}
-	return out
-}
-
 // expired returns the IDs of the daemons whose rows can be removed.
 func (l *liveness) expired() []string {
 	var ids []string
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -87,6 +87,9 @@
 // IDs.
 type Members struct {
 	List []Member
+	// Ended are daemons that are no longer alive but still have rows: what they knew of
+	// servers may still hold.
+	Ended []Member
 
 	// active holds the IDs of the daemons that are not shutting down. It is built by
 	// the first call of Has.
@@ -192,8 +195,8 @@
 	for _, id := range l.update(s.Rows, sentAt) {
 		f.log.Info("daemon considered dead", zap.String("Member", id))
 	}
-	f.recordReportedSoftware(l.all())
 	m := l.alive()
+	f.recordReportedSoftware(slices.Concat(m.List, m.Ended))
 	if before := len(f.Members().List); before != len(m.List) {
 		f.log.Info("number of daemons alive changed", zap.Int("Before", before), zap.Int("Now", len(m.List)))
 	}
--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -95,7 +95,7 @@
 	if i := slices.IndexFunc(m.List, func(o fleet.Member) bool { return o.ID == l.self }); i >= 0 {
 		r.self = i
 	}
-	for _, o := range m.List {
+	for _, o := range slices.Concat(m.List, m.Ended) {
 		if o.ID == l.self {
 			continue
 		}
