--- a/internal/control/schedule/restart.go
+++ b/internal/control/schedule/restart.go
@@ -5,7 +5,7 @@
 // maxTextWait limits how long an item waits for a server that can continue its text.
 const maxTextWait = 2 * time.Second
 
-// StartsOver reports whether a waiting item gives its text up and starts over on any
+// StartsOver reports whether a waiting item discards its text and starts over on any
 // server. compatible is the number of servers that are in use and could continue the
 // text, and pace the time per token. While there are some, the item waits for a free slot
 // on one of them for no longer than generating the text again would take: whichever comes
--- a/internal/front/batch/reward.go
+++ b/internal/front/batch/reward.go
@@ -241,9 +241,9 @@
 }
 
 // mayProbe reports whether the reward call of an item may be sent although servers failed
-// while they ran it: the item is still owed, and servers that fail in quick succession say
-// little about the call. It is sent to one server at a time, at growing intervals. mayProbe
-// is called with the mutex held.
+// while they ran it: its item must still be scored, and servers that fail in quick succession
+// do not show that the call is the cause. It is sent to one server at a time, at growing
+// intervals. mayProbe is called with the mutex held.
 func (r *Runner) mayProbe(i *item, now time.Time) bool {
 	c := &i.reward
 	if len(c.stops) > 0 {
--- a/internal/front/batch/software.go
+++ b/internal/front/batch/software.go
@@ -44,7 +44,7 @@
 	return ok && now.Software != s.Software
 }
 
-// startsOver reports whether a waiting item gives its text up.
+// startsOver reports whether a waiting item must discard its text.
 func (r *Runner) startsOver(now time.Time, w schedule.Item) bool {
 	if _, ok := w.Software.Get(); !ok {
 		return false
--- a/internal/front/forward/originquery.go
+++ b/internal/front/forward/originquery.go
@@ -21,7 +21,7 @@
 	Known    bool
 }
 
-// Handle registers the handler that tells peers the origins of streams.
+// Handle registers the handler that answers queries of peers for the origins of streams.
 func (f *Forwarder) Handle(m *wire.Mux) {
 	m.Handle(wire.KindStreamOrigin, func(_ context.Context, _ netip.AddrPort, body []byte) (any, error) {
 		var k streamKey
