Keep the owner of a slot for as long as the slot is valid

What callers would see: a limited server got more requests than one and a half times its rate allows (LIMIT).

Cause: reports kept the demands of two epochs of 3 s, enough for slots in the current epoch only. A slot may be used until 0.5 s plus the time between two slots after its time: 2.9 s here, 4.5 s at the lowest rate. Once a report of the next epoch arrived, Demand.before returned a later demand for the earlier epoch, so that slots in it changed their owner while they were valid, and a second daemon used them. Class: a decision that daemons must agree on is computed from data that is no longer there.

Change: a report keeps as many epochs as the oldest valid slot needs, four, computed from the two constants that determine it.

Conclusion: fixed for lists of members that do not change.

--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -160,34 +160,53 @@
 	must.LessEq(t, int(factor*rate*span.Seconds())+margin, mostIn(sent))
 }
 
+// randomLoad replays demands that come and go at a number of daemons, of which busy is the
+// probability that one gets requests in a tick, and returns the largest number of requests
+// within span and the number allowed. Each of the rates holds for 8 s.
+func randomLoad(rates []float64, seed uint64, count int, busy float64) (most, allowed int) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	rate := func(at time.Duration) float64 { return rates[int(at/(8*time.Second))%len(rates)] }
+	sent := replay(newDaemons(count), rate, 30*time.Second, func(_ time.Duration, all []*daemon) {
+		for _, d := range all {
+			if r.Float64() < busy {
+				d.waiting += r.IntN(10)
+			}
+		}
+	})
+	return mostIn(sent), int(factor*slices.Max(rates)*span.Seconds()) + margin
+}
+
 // TestRandomLoadKeepsRate draws fleets, rates that change, and demands that come and go.
 func TestRandomLoadKeepsRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rates := rapid.SliceOfN(rapid.Float64Range(0.3, 20), 1, 4).Draw(t, "rates")
-		highest := slices.Max(rates)
-		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		seed := rapid.Uint64().Draw(t, "seed")
 		count := rapid.IntRange(1, 40).Draw(t, "daemons")
 		busy := rapid.Float64Range(0, 0.05).Draw(t, "busy")
-		rate := func(at time.Duration) float64 { return rates[int(at/(8*time.Second))%len(rates)] }
-		sent := replay(newDaemons(count), rate, 30*time.Second, func(_ time.Duration, all []*daemon) {
-			for _, d := range all {
-				if r.Float64() < busy {
-					d.waiting += r.IntN(10)
-				}
-			}
-		})
-		if most, allowed := mostIn(sent), int(factor*highest*span.Seconds())+margin; most > allowed {
+		if most, allowed := randomLoad(rates, seed, count, busy); most > allowed {
 			t.Fatalf("%d requests in %v, %d allowed", most, span, allowed)
 		}
 	})
 }
 
+// TestSlotOfAnEarlierEpochIsUsedTwice replays random loads in which slots were used by two
+// daemons, after reports of a later epoch had changed their owners.
+func TestSlotOfAnEarlierEpochIsUsedTwice(t *testing.T) {
+	for _, load := range []struct {
+		rate  float64
+		count int
+	}{{0.40952645894140005, 25}, {0.3625057218596339, 18}} {
+		most, allowed := randomLoad([]float64{load.rate}, 0, load.count, 0.05)
+		must.LessEq(t, allowed, most, must.Sprintf("rate %v, %d daemons", load.rate, load.count))
+	}
+}
+
 func TestSharesDoNotOverlap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		levels := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 50).Draw(t, "demands")
 		demands := make([]ratelimit.Demand, len(levels))
 		for n, level := range levels {
-			demands[n] = ratelimit.Demand{Epoch: ratelimit.Epoch(5 + n%2), Last: level, Previous: level / 2}
+			demands[n] = ratelimit.Demand{Epoch: ratelimit.Epoch(5 + n%2), Levels: [4]float64{level, level / 2}}
 		}
 		end := 0.0
 		for n := range demands {
@@ -249,7 +268,7 @@
 	var d ratelimit.Demand
 	d = d.Advance(5, 10).Advance(5, 99)
 	next := d.Advance(6, 30)
-	other := ratelimit.Demand{Epoch: 5, Last: 10}
+	other := ratelimit.Demand{Epoch: 5, Levels: [4]float64{10}}
 	want := ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 6)
 	must.Eq(t, 0.5, want.To)
 	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{next, other}, 0, 6))
--- a/internal/control/ratelimit/share.go
+++ b/internal/control/ratelimit/share.go
@@ -10,6 +10,11 @@
 	evenShare = 0.2
 	// epochLength is longer than heartbeats take to reach all daemons.
 	epochLength = 3 * time.Second
+	// longestAge is for how long a slot may be used after its time at the lowest rate.
+	longestAge = maxSlotAge + time.Duration(1/MinRate)*time.Second
+	// levels is the number of epochs whose demands are kept: when the last slots in an
+	// epoch expire, shares in it still depend on the epoch before it.
+	levels = int(2 + (longestAge+epochLength-1)/epochLength)
 )
 
 // Epoch is the number of a span of time on the clock that the daemons share. Shares do not
@@ -24,31 +29,30 @@
 // Demand is a daemon's demand at one server, in requests, as it reports it to the others.
 // The zero value is none.
 type Demand struct {
-	// Epoch is the epoch at whose beginning the demand was Last, and Previous what it was
-	// at the beginning of the epoch before.
-	Epoch          Epoch
-	Last, Previous float64
+	// Epoch is the epoch at whose beginning the demand was the first of Levels. The
+	// others are what it was at the beginnings of the epochs before, the latest first.
+	Epoch  Epoch
+	Levels [levels]float64
 }
 
 // Advance returns the demand to report in an epoch: the first call in an epoch determines
 // what it is at the epoch's beginning.
 func (d Demand) Advance(e Epoch, level float64) Demand {
-	switch d.Epoch {
-	case e:
+	if d.Epoch == e {
 		return d
-	case e - 1:
-		return Demand{Epoch: e, Last: level, Previous: d.Last}
 	}
-	return Demand{Epoch: e, Last: level}
+	out := Demand{Epoch: e}
+	if d.Epoch == e-1 {
+		copy(out.Levels[1:], d.Levels[:])
+	}
+	out.Levels[0] = level
+	return out
 }
 
 // before returns the demand on which shares in an epoch depend: that at the beginning of
 // the epoch before. If nothing newer has been reported, it is the last one.
 func (d Demand) before(e Epoch) float64 {
-	if d.Epoch >= e {
-		return d.Previous
-	}
-	return d.Last
+	return d.Levels[min(max(0, d.Epoch-e+1), Epoch(levels-1))]
 }
 
 // Share is the part of the slots that belongs to one daemon: those whose position is at
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -97,7 +97,7 @@
 	for n := range daemons {
 		m := fleet.Member{ID: fmt.Sprintf("%03d", n)}
 		if n%(daemons/senders) == 0 {
-			m.ServiceDemands = map[string]ratelimit.Demand{"s": {Epoch: epoch, Last: 9, Previous: 9}}
+			m.ServiceDemands = map[string]ratelimit.Demand{"s": {Epoch: epoch, Levels: [4]float64{9, 9}}}
 		}
 		list.List = append(list.List, m)
 	}
@@ -108,7 +108,7 @@
 	}
 	must.Greater(t, 0.1, width(epoch))
 	// Another daemon alone has a demand at the server itself.
-	list.List[3].Demands = map[string]ratelimit.Demand{"a": {Epoch: epoch, Last: 5}}
+	list.List[3].Demands = map[string]ratelimit.Demand{"a": {Epoch: epoch, Levels: [4]float64{5}}}
 	must.Greater(t, 0.1, width(epoch))
 	must.Less(t, 0.1, width(epoch+1))
 }
