Do not change shares by reports that come too late

What callers would see: a limited server gets more requests than its rate allows, when daemons begin or cease to send to it, or miss heartbeats.

The shares in an epoch depend on the demands at the beginning of the epoch before, but (1) a daemon that met a server late in an epoch reported a demand for it at once, and the others learned of it after the next epoch had begun; (2) a daemon that reported nothing for an epoch replaced what the others had assumed for it, its last demand, by zero; (3) a daemon's demand vanished with the limit, also if the server named it again a moment later.

Change: a demand reported in the second half of an epoch counts from the next one; epochs without a report keep the demand that the others assume; the demand is reported for 30 s after the end of the limit, as the end itself is.

Before: TestLateReportChangesNoShare fails with the first draw (a daemon that knows all reports and one that knows those of 1.5 s ago disagree on shares of valid slots); TestDemandOutlivesItsLimit fails. After: both pass, the first with 1,000 draws.

Conclusion: while lists of members are the same and reports arrive within 1.5 s, daemons agree on the owner of each valid slot. A daemon that is new at a server has its demand counted up to 3 s later than before; until then it has its part of the evenly divided fifth.

--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -62,7 +62,7 @@
 		for n, d := range daemons {
 			phase := time.Duration(n%7) * 40 * time.Millisecond
 			if at%heartbeat == phase {
-				next := reported[n].Advance(ratelimit.EpochOf(start.Add(at+d.ahead)), float64(d.waiting+d.sent-lastSent[n]))
+				next := reported[n].Advance(start.Add(at+d.ahead), float64(d.waiting+d.sent-lastSent[n]))
 				if next != reported[n] {
 					lastSent[n] = d.sent
 				}
@@ -266,8 +266,9 @@
 // ago, whether or not a newer report has arrived.
 func TestDemandIsUsedAnEpochLater(t *testing.T) {
 	var d ratelimit.Demand
-	d = d.Advance(5, 10).Advance(5, 99)
-	next := d.Advance(6, 30)
+	first, second := time.Unix(15, 0), time.Unix(18, 0)
+	d = d.Advance(first, 10).Advance(first.Add(time.Second), 99)
+	next := d.Advance(second, 30)
 	other := ratelimit.Demand{Epoch: 5, Levels: [4]float64{10}}
 	want := ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 6)
 	must.Eq(t, 0.5, want.To)
--- a/internal/control/ratelimit/share.go
+++ b/internal/control/ratelimit/share.go
@@ -10,6 +10,9 @@
 	evenShare = 0.2
 	// epochLength is longer than heartbeats take to reach all daemons.
 	epochLength = 3 * time.Second
+	// latestReport is how long after the beginning of an epoch a demand may be reported:
+	// the others must know it before the next epoch.
+	latestReport = epochLength / 2
 	// longestAge is for how long a slot may be used after its time at the lowest rate.
 	longestAge = maxSlotAge + time.Duration(1/MinRate)*time.Second
 	// levels is the number of epochs whose demands are kept: when the last slots in an
@@ -26,6 +29,11 @@
 	return Epoch(t.UnixMilli() / epochLength.Milliseconds())
 }
 
+// start returns the beginning of the epoch.
+func (e Epoch) start() time.Time {
+	return time.UnixMilli(int64(e) * epochLength.Milliseconds())
+}
+
 // Demand is a daemon's demand at one server, in requests, as it reports it to the others.
 // The zero value is none.
 type Demand struct {
@@ -35,17 +43,21 @@
 	Levels [levels]float64
 }
 
-// Advance returns the demand to report in an epoch: the first call in an epoch determines
-// what it is at the epoch's beginning.
-func (d Demand) Advance(e Epoch, level float64) Demand {
-	if d.Epoch == e {
+// Advance returns the demand to report at a time: the first call in an epoch determines what
+// it is at the epoch's beginning. If the others would learn of that too late, the demand stays
+// what they assume, the last one reported.
+func (d Demand) Advance(now time.Time, level float64) Demand {
+	e := EpochOf(now)
+	if later := d.Epoch - e; 0 <= later && later < Epoch(levels) {
 		return d
 	}
 	out := Demand{Epoch: e}
-	if d.Epoch == e-1 {
-		copy(out.Levels[1:], d.Levels[:])
+	for i := range out.Levels {
+		out.Levels[i] = d.before(e - Epoch(i) + 1)
+	}
+	if now.Sub(e.start()) < latestReport {
+		out.Levels[0] = level
 	}
-	out.Levels[0] = level
 	return out
 }
 
--- a/internal/front/throttle/demand.go
+++ b/internal/front/throttle/demand.go
@@ -23,7 +23,7 @@
 
 // report returns what to report at a time by the clock that the daemons share.
 func (d *reportedDemand) report(now time.Time) ratelimit.Demand {
-	d.reported = d.reported.Advance(ratelimit.EpochOf(now), d.at(time.Now()))
+	d.reported = d.reported.Advance(now, d.at(time.Now()))
 	return d.reported
 }
 
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -204,3 +204,23 @@
 		must.Less(t, 0.01, d.at(time.Now()))
 	})
 }
+
+// TestDemandOutlivesItsLimit ends a limit and names it again: what the daemon has reported,
+// on which the shares of others depend, must not be gone meanwhile.
+func TestDemandOutlivesItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimits()
+		var m fleet.Member
+		l.RecordLimit(limited, option.Some(2.0), time.Now())
+		must.False(t, l.Free(limited, 1) > 1)
+		l.Report(&m)
+		must.MapContainsKey(t, m.Demands, limited.Incarnation())
+		time.Sleep(time.Second)
+		l.RecordLimit(limited, option.Option[float64]{}, time.Now())
+		l.Report(&m)
+		must.MapContainsKey(t, m.Demands, limited.Incarnation())
+		time.Sleep(time.Minute)
+		l.Report(&m)
+		must.MapEmpty(t, m.Demands)
+	})
+}
--- a/internal/front/throttle/reports.go
+++ b/internal/front/throttle/reports.go
@@ -13,8 +13,8 @@
 // daemons stays the same.
 const maxShares = 1024
 
-// endedReportTime is for how long a daemon reports the end of a limit: a daemon with a small
-// share might notice it only after minutes by itself.
+// endedReportTime is for how long a daemon reports the end of a limit, and its demand at that
+// server: a daemon with a small share might notice the end only after minutes by itself.
 const endedReportTime = 30 * time.Second
 
 // reports is what the heartbeats of one member list contain about limited servers.
@@ -79,7 +79,9 @@
 		}
 	}
 	for id := range l.servers {
-		if _, limited := l.latest(id).rate.Get(); !limited {
+		// The shares of the others depend on what was reported a moment ago.
+		last := l.latest(id)
+		if _, limited := last.rate.Get(); !limited && l.now().Sub(last.at) > endedReportTime {
 			delete(l.servers, id)
 		}
 	}
