Let the rate, not the quota, permit items at limited servers

What callers saw: items late or lost on a larger fleet while most servers limit their rates, although less than half of the rates was used.

Cause: a server's slots are divided among the daemons that run items, so that on a large fleet a daemon has quotas on some servers only; its demand was reported at all of them. Rates were thus divided among daemons that might not use them.

Ruled out: that slots are kept for live requests (none go to that service), waiting items that may not start yet (none), the time between two looks for free slots (20 a second).

Change: at a server that limits its rate, a daemon may start items outside its quota as long as there is room for what others may start within the rate before their heartbeats report it.

--- a/internal/control/schedule/quota.go
+++ b/internal/control/schedule/quota.go
@@ -1,6 +1,13 @@
 package schedule
 
-import "slices"
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// reportDelay is how long it may take until daemons know the items that another one runs.
+const reportDelay = 1500 * time.Millisecond
 
 // Quota returns how many of a server's slots the daemon with the given rank may
 // take without coordination. All quotas of a server add up to its slots.
@@ -14,6 +21,15 @@
 	return slots*(r+1)/daemons - slots*r/daemons
 }
 
+// RoomAtRate returns how many more items a daemon may run on a server that limits its rate,
+// given the number of items that all daemons run there, as far as known. Its part of the
+// rate permits each start, so quotas are not needed: until daemons know of an item that
+// another one started, no more than the rate allows are started.
+func RoomAtRate(slots, load int, rate float64) int {
+	unknown := math.Ceil(rate * reportDelay.Seconds())
+	return max(0, slots-load-int(min(unknown, float64(slots))))
+}
+
 // MayUseSpare reports whether a daemon without a slot in its quota of a server
 // may use a slot that other daemons leave free. load is the number of items that
 // all daemons run there, as far as known, and index identifies the daemon. turn
--- a/internal/control/schedule/schedule_test.go
+++ b/internal/control/schedule/schedule_test.go
@@ -200,3 +200,20 @@
 	must.Len(t, 1, got)
 	must.Eq(t, "waited", got[0].Item.ID)
 }
+
+// TestRoomAtRate lets all daemons start items on a server before they know of each other's:
+// within the rate, the server must not get more than its slots.
+func TestRoomAtRate(t *testing.T) {
+	const slots = 8
+	for _, rate := range []float64{0.25, 1, 2.5, 100, 1e9} {
+		for load := range slots + 3 {
+			room := schedule.RoomAtRate(slots, load, rate)
+			must.GreaterEq(t, 0, room)
+			if room > 0 {
+				must.LessEq(t, slots, float64(load)+1.5*rate, must.Sprintf("rate %v, load %d", rate, load))
+			}
+		}
+	}
+	must.Eq(t, 6, schedule.RoomAtRate(slots, 0, 1))
+	must.Eq(t, 0, schedule.RoomAtRate(slots, 6, 1))
+}
--- a/internal/front/batch/openjob_test.go
+++ b/internal/front/batch/openjob_test.go
@@ -21,6 +21,8 @@
 
 func (unlimited) Limited(backend.Server) bool { return false }
 
+func (unlimited) Rate(backend.Server) (float64, bool) { return 0, false }
+
 func (unlimited) Want(backend.Server, int) {}
 
 // TestEndRowBeforeHeadRow covers a read of all rows, which are sorted by name:
--- a/internal/front/batch/runner.go
+++ b/internal/front/batch/runner.go
@@ -47,6 +47,9 @@
 	Free(s backend.Server, most int) int
 	// Limited reports whether a server limits its rate.
 	Limited(s backend.Server) bool
+	// Rate returns the rate that a server allows, in requests per second; limited is
+	// false if it does not limit it.
+	Rate(s backend.Server) (rate float64, limited bool)
 	// Want records the number of requests that wait for a server.
 	Want(s backend.Server, requests int)
 }
--- a/internal/front/batch/size_test.go
+++ b/internal/front/batch/size_test.go
@@ -19,7 +19,7 @@
 
 // newLargeFleet returns the runner of one of many daemons, with the state of a fleet
 // in which each daemon runs items on some servers and reports their paces.
-func newLargeFleet(b *testing.B, daemons, servers int) *Runner {
+func newLargeFleet(b testing.TB, daemons, servers int) *Runner {
 	m := &store.Memory{}
 	put := func(table, name string, value []byte) {
 		_, err := m.Commit(b.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: table, Name: name}, Value: value}}})
--- a/internal/front/batch/slots.go
+++ b/internal/front/batch/slots.go
@@ -126,11 +126,15 @@
 
 // slotsOn returns how many items this daemon may run on a server, and how many
 // spare slots it may use for items that have waited long. A daemon that still
-// holds items but is no longer among the runners has spare slots only.
+// holds items but is no longer among the runners has spare slots only. On a server
+// that limits its rate, a daemon may also run items outside its quota.
 func (r *Runner) slotsOn(s backend.Server, load int, v slotView) (quota, spare int) {
 	if v.rank >= 0 {
 		quota = schedule.Quota(s.Slots, v.rank, v.runners, rotation(s.ID))
 	}
+	if rate, limited := r.limits.Rate(s); limited {
+		quota = max(quota, v.used[s.ID]+schedule.RoomAtRate(s.Slots, load, rate))
+	}
 	if quota > 0 {
 		return quota, 0
 	}
--- a/internal/front/throttle/limits.go
+++ b/internal/front/throttle/limits.go
@@ -183,10 +183,16 @@
 
 // Limited reports whether a server limits its rate.
 func (l *Limits) Limited(s backend.Server) bool {
+	_, limited := l.Rate(s)
+	return limited
+}
+
+// Rate returns the rate that a server allows, in requests per second; limited is false if
+// it does not limit it.
+func (l *Limits) Rate(s backend.Server) (rate float64, limited bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	_, limited := l.latest(s.Incarnation()).rate.Get()
-	return limited
+	return l.latest(s.Incarnation()).rate.Get()
 }
 
 // Want records the number of requests that wait for a slot at a server, for the shares
