Keep loans and slots together within the lowest rates

What callers would see: a server that names a rate near 0 gets more requests in 4 s than one and a half times that and 5, while weights are loaded on it.

Cause: a load may send its query and its order without a slot, two requests in 2.5 s, so up to four in 4 s. With the slots of the lowest rate, three in a window, that is one or two more than the 5 allowed. Class: two parts of one sum, each bounded by itself.

Change: two loans in 4 s.

Before: TestLoansAndSlotsKeepRate fails at rate 0 (6 of 5). After: it passes for rates from 0 to 2. TestLoans asks for the longer time, stricter than before.

Conclusion: proved for one daemon that loads weights; for about a second while the duty changes hands two may lend.

--- a/internal/control/ratelimit/loans.go
+++ b/internal/control/ratelimit/loans.go
@@ -4,9 +4,10 @@
 
 const (
 	// maxLoans is the number of requests that may be sent to one server without a slot
-	// within loanSpan: the query and the order of one load of weights.
+	// within loanSpan: the query and the order of one load of weights. At the lowest rates
+	// more of them would exceed what a server accepts in a few seconds.
 	maxLoans = 2
-	loanSpan = 2500 * time.Millisecond
+	loanSpan = 4 * time.Second
 )
 
 // Loans allow a daemon a few requests to one server without a slot: those without which
--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -320,13 +320,34 @@
 	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 50))
 }
 
+// TestLoansAndSlotsKeepRate has all daemons hold many requests, and one of them use each loan
+// as well, at the lowest rates that a server may name.
+func TestLoansAndSlotsKeepRate(t *testing.T) {
+	for _, rate := range []float64{0, 0.1, 0.25, 0.4, 0.5, 0.75, 1, 2} {
+		sent := replay(newDaemons(9), constant(rate), time.Minute, func(_ time.Duration, all []*daemon) {
+			for _, d := range all {
+				d.waiting = 1000
+			}
+		})
+		var l ratelimit.Loans
+		for at := time.Duration(0); at < time.Minute; at += tick {
+			for l.Take(start.Add(at)) {
+				sent = append(sent, at)
+			}
+		}
+		slices.Sort(sent)
+		must.LessEq(t, int(factor*rate*span.Seconds())+margin, mostIn(sent), must.Sprintf("rate %v", rate))
+	}
+}
+
 func TestLoans(t *testing.T) {
 	var l ratelimit.Loans
 	must.True(t, l.Take(start))
 	must.True(t, l.Take(start.Add(time.Second)))
 	must.False(t, l.Take(start.Add(2*time.Second)))
-	must.True(t, l.Take(start.Add(2600*time.Millisecond)))
-	must.False(t, l.Take(start.Add(2700*time.Millisecond)))
+	must.False(t, l.Take(start.Add(span-time.Millisecond)))
+	must.True(t, l.Take(start.Add(span)))
+	must.False(t, l.Take(start.Add(span+time.Millisecond)))
 	// The clock was set back.
 	must.True(t, l.Take(start.Add(-time.Hour)))
 }
