--- a/internal/control/ratelimit/ratelimit.go
+++ b/internal/control/ratelimit/ratelimit.go
@@ -5,9 +5,9 @@
 // request that the server allows. A low-discrepancy sequence assigns each slot to one
 // daemon, so that no two daemons use the same slot and each has its slots evenly spaced,
 // whether a daemon has several slots a second or one a minute. Each server has a sequence of
-// its own, so that the slots of several servers at the same moment belong to several daemons. A daemon uses a slot when
-// its time has come, and no later than shortly afterwards: unused slots are not saved up
-// until many daemons spend them at once.
+// its own, so that the slots of several servers at the same moment belong to several
+// daemons. A daemon uses a slot when its time has come, and no later than shortly
+// afterwards: unused slots are not saved up until many daemons spend them at once.
 //
 // It is designed for two loads: all daemons begin to send to a server at the same moment,
 // and few of many daemons have requests for it. Shares therefore follow the demand that
@@ -116,7 +116,7 @@
 	return fraction(uint64(n)*golden + s.Server)
 }
 
-// phase returns the part of the time between two slots by which the server's are late.
+// phase returns by how much the server's slots are late, as a part of the time between two.
 func (s *Slots) phase() float64 {
 	return fraction(bits.Reverse64(s.Server))
 }
--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -320,18 +320,18 @@
 	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 50))
 }
 
-// TestLoansAndSlotsKeepRate has all daemons hold many requests, and one of them use each loan
+// TestExemptionsAndSlotsKeepRate has all daemons hold many requests, and one of them use each exemption
 // as well, at the lowest rates that a server may name.
-func TestLoansAndSlotsKeepRate(t *testing.T) {
+func TestExemptionsAndSlotsKeepRate(t *testing.T) {
 	for _, rate := range []float64{0, 0.1, 0.25, 0.4, 0.5, 0.75, 1, 2} {
 		sent := replay(newDaemons(9), constant(rate), time.Minute, func(_ time.Duration, all []*daemon) {
 			for _, d := range all {
 				d.waiting = 1000
 			}
 		})
-		var l ratelimit.Loans
+		var x ratelimit.Exemptions
 		for at := time.Duration(0); at < time.Minute; at += tick {
-			for l.Take(start.Add(at)) {
+			for x.Take(start.Add(at)) {
 				sent = append(sent, at)
 			}
 		}
@@ -340,16 +340,16 @@
 	}
 }
 
-func TestLoans(t *testing.T) {
-	var l ratelimit.Loans
-	must.True(t, l.Take(start))
-	must.True(t, l.Take(start.Add(time.Second)))
-	must.False(t, l.Take(start.Add(2*time.Second)))
-	must.False(t, l.Take(start.Add(span-time.Millisecond)))
-	must.True(t, l.Take(start.Add(span)))
-	must.False(t, l.Take(start.Add(span+time.Millisecond)))
+func TestExemptions(t *testing.T) {
+	var x ratelimit.Exemptions
+	must.True(t, x.Take(start))
+	must.True(t, x.Take(start.Add(time.Second)))
+	must.False(t, x.Take(start.Add(2*time.Second)))
+	must.False(t, x.Take(start.Add(span-time.Millisecond)))
+	must.True(t, x.Take(start.Add(span)))
+	must.False(t, x.Take(start.Add(span+time.Millisecond)))
 	// The clock was set back.
-	must.True(t, l.Take(start.Add(-time.Hour)))
+	must.True(t, x.Take(start.Add(-time.Hour)))
 }
 
 func BenchmarkNext(b *testing.B) {
--- a/internal/front/throttle/client.go
+++ b/internal/front/throttle/client.go
@@ -30,7 +30,7 @@
 
 // QueryStatus implements backend.Client.
 func (c *Client) QueryStatus(ctx context.Context, s backend.Server) (backend.Status, error) {
-	if !c.limits.Lend(s) {
+	if !c.limits.AdmitExempt(s) {
 		return backend.Status{}, backend.ErrLimited
 	}
 	return c.inner.QueryStatus(ctx, s)
@@ -38,7 +38,7 @@
 
 // SendOrder implements backend.Client.
 func (c *Client) SendOrder(ctx context.Context, s backend.Server, o backend.Order) (backend.Outcome, error) {
-	if !c.limits.Lend(s) {
+	if !c.limits.AdmitExempt(s) {
 		return backend.Refused, backend.ErrLimited
 	}
 	return c.inner.SendOrder(ctx, s, o)
--- a/internal/front/throttle/limits.go
+++ b/internal/front/throttle/limits.go
@@ -62,9 +62,9 @@
 
 // server is what this daemon sends to a server that limits its rate.
 type server struct {
-	slots  ratelimit.Slots
-	loans  ratelimit.Loans
-	demand reportedDemand
+	slots      ratelimit.Slots
+	exemptions ratelimit.Exemptions
+	demand     reportedDemand
 	// liveAt is when a live request was last sent or refused.
 	liveAt time.Time
 }
@@ -128,9 +128,9 @@
 	}
 }
 
-// Lend reports whether a request may be sent to a server now, with a slot or as one of
+// AdmitExempt reports whether a request may be sent to a server now, with a slot or as one of
 // the few requests that need none.
-func (l *Limits) Lend(s backend.Server) bool {
+func (l *Limits) AdmitExempt(s backend.Server) bool {
 	if _, ok := l.reserve(s, time.Time{}); ok {
 		return true
 	}
@@ -141,7 +141,7 @@
 		return true
 	}
 	now := l.now()
-	if !v.loans.Take(now) {
+	if !v.exemptions.Take(now) {
 		return false
 	}
 	// The request takes the place of a later one.
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -169,17 +169,17 @@
 	must.Less(t, time.Second, time.Since(start))
 }
 
-// TestLoansAreFew lends orders and queries to a server without slots.
-func TestLoansAreFew(t *testing.T) {
+// TestExemptionsAreFew sends orders and queries to a server without slots.
+func TestExemptionsAreFew(t *testing.T) {
 	l := newLimits()
 	name(l, 0.3, time.Now())
-	lent := 0
+	sent := 0
 	for range 20 {
-		if l.Lend(limited) {
-			lent++
+		if l.AdmitExempt(limited) {
+			sent++
 		}
 	}
-	must.Between(t, 2, lent, 4)
+	must.Between(t, 2, sent, 4)
 }
 
 func TestDemand(t *testing.T) {
