--- a/internal/control/ratelimit/ratelimit_test.go
+++ b/internal/control/ratelimit/ratelimit_test.go
@@ -46,8 +46,8 @@
 
 // replay lets daemons send whatever waits whenever they may, and returns the times of
 // all requests, except those of a daemon that started within span before: a restart
-// excuses the requests of that daemon. Daemons report what waits and what they sent lately, and read the reports of
-// the others, at different times.
+// excuses the requests of that daemon. Daemons report what waits and what they sent lately,
+// and read the reports of the others, at different times.
 func replay(daemons []*daemon, rate func(at time.Duration) float64, length time.Duration, arrive func(at time.Duration, d []*daemon)) []time.Duration {
 	var sent []time.Duration
 	reported := make([]ratelimit.Demand, len(daemons))
@@ -320,8 +320,8 @@
 	must.Eq(t, want, ratelimit.ShareOf([]ratelimit.Demand{d, other}, 0, 50))
 }
 
-// TestExemptionsAndSlotsKeepRate has all daemons hold many requests, and one of them use each exemption
-// as well, at the lowest rates that a server may name.
+// TestExemptionsAndSlotsKeepRate has all daemons hold many requests, and one of them use each
+// exemption as well, at the lowest rates that a server may name.
 func TestExemptionsAndSlotsKeepRate(t *testing.T) {
 	for _, rate := range []float64{0, 0.1, 0.25, 0.4, 0.5, 0.75, 1, 2} {
 		sent := replay(newDaemons(9), constant(rate), time.Minute, func(_ time.Duration, all []*daemon) {
--- a/internal/front/throttle/limits_test.go
+++ b/internal/front/throttle/limits_test.go
@@ -205,14 +205,14 @@
 	})
 }
 
-// TestDemandOutlivesItsLimit ends a limit and names it again: what the daemon has reported,
-// on which the shares of others depend, must not be gone meanwhile.
+// TestDemandOutlivesItsLimit ends a limit: what the daemon has reported, on which the shares
+// of others depend, must not be gone if the server names a limit again soon.
 func TestDemandOutlivesItsLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLimits()
 		var m fleet.Member
 		l.RecordLimit(limited, option.Some(2.0), time.Now())
-		must.False(t, l.Free(limited, 1) > 1)
+		must.LessEq(t, 1, l.Free(limited, 1))
 		l.Report(&m)
 		must.MapContainsKey(t, m.Demands, limited.Incarnation())
 		time.Sleep(time.Second)
