Discard a text only if a server of another version can generate it again

What callers saw: items took longer than needed after an interruption.

Ruled out: that the servers were gone (the lines name v1, the only version).

Change: StartsOver asks whether there are servers of another version, and whether the item has been offered since it began to wait.

After: TestTextDiscardedBeforeItWasOffered, TestTextDiscardedWithoutAnotherVersion and TestTextOfTheOnlyVersionIsKept pass.

--- a/internal/control/schedule/restart_test.go
+++ b/internal/control/schedule/restart_test.go
@@ -69,10 +69,28 @@
 		it.ReadyAt = start.Add(-d)
 		return it
 	}
-	must.False(t, waited(item("none", 1000, time.Second), time.Minute).StartsOver(start, 0, pace))
-	must.True(t, waited(withText("gone", "v1", 500), 0).StartsOver(start, 0, pace))
-	must.False(t, waited(withText("busy", "v1", 500), 400*time.Millisecond).StartsOver(start, 2, pace))
-	must.True(t, waited(withText("busy", "v1", 500), 600*time.Millisecond).StartsOver(start, 2, pace))
-	must.False(t, waited(withText("long", "v1", 9000), 1900*time.Millisecond).StartsOver(start, 2, pace))
-	must.True(t, waited(withText("long", "v1", 9000), 2100*time.Millisecond).StartsOver(start, 2, pace))
+	must.False(t, waited(item("none", 1000, time.Second), time.Minute).StartsOver(start, true, 0, 1, pace))
+	must.True(t, waited(withText("gone", "v1", 500), 0).StartsOver(start, true, 0, 1, pace))
+	must.False(t, waited(withText("busy", "v1", 500), 400*time.Millisecond).StartsOver(start, true, 2, 1, pace))
+	must.True(t, waited(withText("busy", "v1", 500), 600*time.Millisecond).StartsOver(start, true, 2, 1, pace))
+	must.False(t, waited(withText("long", "v1", 9000), 1900*time.Millisecond).StartsOver(start, true, 2, 1, pace))
+	must.True(t, waited(withText("long", "v1", 9000), 2100*time.Millisecond).StartsOver(start, true, 2, 1, pace))
+}
+
+// TestTextDiscardedBeforeItWasOffered takes over an item that a busy daemon looks at late:
+// its text must first be offered to the servers that can continue it.
+func TestTextDiscardedBeforeItWasOffered(t *testing.T) {
+	it := withText("late", "v1", 9)
+	it.ReadyAt = start.Add(-100 * time.Millisecond)
+	must.False(t, it.StartsOver(start, false, 1, 3, time.Millisecond))
+	must.True(t, it.StartsOver(start, true, 1, 3, time.Millisecond))
+	must.True(t, it.StartsOver(start, false, 0, 3, time.Millisecond))
+}
+
+// TestTextDiscardedWithoutAnotherVersion lets an item wait for long while all servers run
+// the version of its text: starting over elsewhere is impossible, so nothing is gained.
+func TestTextDiscardedWithoutAnotherVersion(t *testing.T) {
+	it := withText("only", "v1", 500)
+	it.ReadyAt = start.Add(-time.Minute)
+	must.False(t, it.StartsOver(start, true, 3, 0, time.Millisecond))
 }
--- a/internal/front/batch/openjob.go
+++ b/internal/front/batch/openjob.go
@@ -53,8 +53,10 @@
 	lastSoftware string
 	runs         int
 	spent        spent
-	// readyAt is when the item began to wait.
-	readyAt time.Time
+	// readyAt is when the item began to wait, and offeredFor its value when the item was
+	// last offered to the servers.
+	readyAt    time.Time
+	offeredFor time.Time
 	// notBefore is the earliest time of the next run; zero sets no limit.
 	notBefore time.Time
 	// avoid is the ID of the server that should not get the item; empty for none.
--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -33,10 +33,11 @@
 				continue
 			}
 			w := r.toScheduleItem(i)
-			if r.startsOver(now, w) {
+			if r.startsOver(now, w, i.offeredFor.Equal(i.readyAt)) {
 				r.startOver(i, "no server of its software version in time")
 				w = r.toScheduleItem(i)
 			}
+			i.offeredFor = i.readyAt
 			if w.Service != "" {
 				out = append(out, w)
 			} else if r.fleet.Config() != nil {
--- a/internal/front/batch/software.go
+++ b/internal/front/batch/software.go
@@ -44,12 +44,16 @@
 	return ok && now.Software != s.Software
 }
 
-// startsOver reports whether a waiting item must discard its text.
-func (r *Runner) startsOver(now time.Time, w schedule.Item) bool {
+// startsOver reports whether a waiting item must discard its text. offered is whether the
+// item has been offered to the servers since it began to wait.
+func (r *Runner) startsOver(now time.Time, w schedule.Item, offered bool) bool {
 	if _, ok := w.Software.Get(); !ok {
 		return false
 	}
-	return w.StartsOver(now, r.compatible(w), schedule.DefaultPace)
+	compatible := r.compatible(w)
+	anywhere := w
+	anywhere.Software = option.Option[string]{}
+	return w.StartsOver(now, offered, compatible, r.compatible(anywhere)-compatible, schedule.DefaultPace)
 }
 
 // compatible returns the number of servers that are in use and could continue the text of
--- a/internal/front/batch/software_test.go
+++ b/internal/front/batch/software_test.go
@@ -9,6 +9,8 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/base/option"
+	"github.com/lacewingtally/lacewingtally/internal/control/schedule"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/balance"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
@@ -63,3 +65,15 @@
 	}
 	must.True(t, Progress{}.continuesOn(backend.Server{Software: "v2"}))
 }
+
+// TestTextOfTheOnlyVersionIsKept lets items with texts wait while all servers run the same
+// software.
+func TestTextOfTheOnlyVersionIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRunnerWithServer(t, "v1")
+		w := schedule.Item{ID: "i", Service: "s", Software: option.Some("v1"), Produced: 10, ReadyAt: time.Now().Add(-time.Minute)}
+		must.False(t, r.startsOver(time.Now(), w, true))
+		w.Software = option.Some("v2")
+		must.True(t, r.startsOver(time.Now(), w, false))
+	})
+}
