--- a/internal/front/batch/place.go
+++ b/internal/front/batch/place.go
@@ -21,7 +21,8 @@
 )
 
 // waiting returns the waiting items. It abandons items that have no route in the
-// current configuration, and discards texts that no server will continue in time.
+// current configuration, discards texts that no server will continue in time, and records
+// that the items are offered to the servers.
 func (r *Runner) waiting(now time.Time) []schedule.Item {
 	var out []schedule.Item
 	for _, j := range r.jobs {
--- a/internal/front/batch/returning.go
+++ b/internal/front/batch/returning.go
@@ -87,7 +87,7 @@
 		return option.Option[string]{}
 	}
 	w.Software = rerun.progress.software()
-	if r.compatible(w) == 0 {
+	if compatible, _ := r.compatible(w); compatible == 0 {
 		return option.Option[string]{}
 	}
 	return w.Software
--- a/internal/front/batch/software.go
+++ b/internal/front/batch/software.go
@@ -50,20 +50,21 @@
 	if _, ok := w.Software.Get(); !ok {
 		return false
 	}
-	compatible := r.compatible(w)
-	anywhere := w
-	anywhere.Software = option.Option[string]{}
-	return w.StartsOver(now, offered, compatible, r.compatible(anywhere)-compatible, schedule.DefaultPace)
+	compatible, others := r.compatible(w)
+	return w.StartsOver(now, offered, compatible, others, schedule.DefaultPace)
 }
 
-// compatible returns the number of servers that are in use and could continue the text of
-// an item.
-func (r *Runner) compatible(w schedule.Item) int {
-	n := 0
+// compatible returns the numbers of servers of an item's service that are in use and could
+// continue its text, and of the others.
+func (r *Runner) compatible(w schedule.Item) (compatible, others int) {
 	for _, s := range r.fleet.Servers().List {
-		if s.Service == w.Service && !s.Draining && w.Software.Or(s.Software) == s.Software {
-			n++
+		switch {
+		case s.Service != w.Service || s.Draining:
+		case w.Software.Or(s.Software) == s.Software:
+			compatible++
+		default:
+			others++
 		}
 	}
-	return n
+	return compatible, others
 }
