--- a/internal/front/batch/software_test.go
+++ b/internal/front/batch/software_test.go
@@ -77,3 +77,13 @@
 		must.True(t, r.startsOver(time.Now(), w, false))
 	})
 }
+
+// TestTextDiscardedBeforeServersAreKnown has a daemon hold a text before it knows the
+// configuration and the servers: it can't tell yet that none can continue it.
+func TestTextDiscardedBeforeServersAreKnown(t *testing.T) {
+	r := newRunner(&store.Memory{}, "a")
+	j := r.add(Head{ID: "j", Items: []ItemHead{{ID: "1"}}, Shards: []Shard{{Member: "a"}}})
+	j.put(&item{Item: Item{ID: "1"}, readyAt: time.Now(), progress: Progress{Lineage: "l", After: 2, Data: []string{"p", "q"}, Software: "v1"}})
+	r.waiting(time.Now())
+	must.Eq(t, 2, j.items["1"].progress.After)
+}
