--- a/review/_standin/daemon.go
+++ b/review/_standin/daemon.go
@@ -22,8 +22,6 @@
 	front, ready string
 	command      *exec.Cmd
 	ended        chan struct{}
-	// exits is the number of processes that ended before they were stopped.
-	exits int
 }
 
 // deployment is the platform with some daemons.
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -17,7 +17,7 @@
 	// transaction takes in addition; one part runs its transactions one after another.
 	storeDelay = 4 * time.Millisecond
 	txDelay    = 5 * time.Millisecond
-	// maxReadRows and maxParts bound one answer.
+	// maxReadRows, maxReadSize in bytes, and maxParts bound one answer.
 	maxReadRows = 500
 	maxReadSize = 1 << 20
 	maxParts    = 1000
@@ -101,7 +101,7 @@
 	s.changed = make(chan struct{})
 }
 
-// countRows returns the number of parts of a table.
+// countParts returns the number of parts of a table.
 func (s *store) countParts(table string) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
