--- a/internal/control/check/check.go
+++ b/internal/control/check/check.go
@@ -41,6 +41,8 @@
 	Services   []route.Service
 	Limits     route.Limits
 	Workspaces []Workspace
+	// KeyRequired is whether requests need a key of a workspace, also if there is none.
+	KeyRequired bool
 }
 
 // Workspace is a workspace as written.
@@ -78,6 +80,7 @@
 	e.services(d)
 	e.limits(d.Limits)
 	e.workspaces(d.Workspaces)
+	e.keys(d)
 	slices.SortStableFunc(e.findings, func(a, b Finding) int {
 		return cmp.Or(cmp.Compare(a.Section, b.Section), cmp.Compare(a.Name, b.Name))
 	})
@@ -226,6 +229,15 @@
 	}
 }
 
+// keys examines whether any key is accepted where one is required.
+func (e *examination) keys(d Document) {
+	accepted := func(k string) bool { return k != "" }
+	hasKey := func(w Workspace) bool { return slices.ContainsFunc(w.Keys, accepted) }
+	if d.KeyRequired && !slices.ContainsFunc(d.Workspaces, hasKey) {
+		e.add(NeverMatches, SectionWorkspaces, "", "a key is required and none exists, so only public routes get requests")
+	}
+}
+
 // entryName returns the name of an entry for messages.
 func entryName(s Section, name string) string {
 	if name == "" {
--- a/internal/control/check/check_test.go
+++ b/internal/control/check/check_test.go
@@ -69,6 +69,9 @@
 		"Mistake Workspaces/x: it shares a key with workspace \"w\"": func(d *check.Document, _ *route.Route) {
 			d.Workspaces = append(d.Workspaces, check.Workspace{Name: "x", Keys: []string{"k"}})
 		},
+		"NeverMatches Workspaces: a key is required and none exists, so only public routes get requests": func(d *check.Document, _ *route.Route) {
+			d.Workspaces, d.KeyRequired = nil, true
+		},
 	} {
 		d := document()
 		edit(&d, &d.Routes[0])
--- a/internal/control/check/diff.go
+++ b/internal/control/check/diff.go
@@ -75,7 +75,10 @@
 
 // entries returns descriptions of the entries of a document.
 func entries(d Document) map[entry]string {
-	out := map[entry]string{{section: SectionLimits}: fmt.Sprintf("%+v", d.Limits)}
+	out := map[entry]string{
+		{section: SectionLimits}:     fmt.Sprintf("%+v", d.Limits),
+		{section: SectionWorkspaces}: fmt.Sprintf("key required: %t", d.KeyRequired),
+	}
 	for _, r := range d.Routes {
 		name := r.Name
 		r.Name = ""
