Failures seen while no server is reached count once the servers ended

Cause: connections to ended servers are refused, as in a partition.

Change: those failures are doubtful and count once the list of servers shows that the server ended (its row is removed, another run stands under its ID or address, within 15 s); one that stays listed, answers or announced its shutdown is excused. control/quarantine decides.

A fixture was wrong: TestFailuresDuringPartitionAreNotSuspect counted failures of a server that its list didn't contain. It now lists all three, and also checks that nothing counts 30 s later.

Before and after: TestRequestThatEndsAllServersIsQuarantined fails in two of four cases if doubtful failures are dropped; with them it passes.

--- a/internal/front/daemon/heartbeat.go
+++ b/internal/front/daemon/heartbeat.go
@@ -28,7 +28,7 @@
 // onPartition is called when a partition from the servers begins, with the time at which
 // one last answered. The other daemons should not send requests through this one.
 func (d *daemon) onPartition(since time.Time) {
-	d.forwarder.ForgetFailures(since)
+	d.forwarder.DoubtFailures(since)
 	go d.announce(context.Background())
 }
 
--- a/internal/front/forward/peers_test.go
+++ b/internal/front/forward/peers_test.go
@@ -228,11 +228,11 @@
 }
 
 // TestFailuresDuringPartitionAreNotSuspect: neither those before it was noticed nor those
-// during it.
+// during it, as the servers go on.
 func TestFailuresDuringPartitionAreNotSuspect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		path := &fakePath{}
-		f, _ := newForwarder(t, &fakeClient{})
+		f, _ := newForwarderOf(t, &fakeClient{}, &store.Memory{}, map[string]string{"a": "", "b": "", "c": ""})
 		f.SetPeers(path, &fakePeers{})
 		fingerprint := quarantine.FingerprintOf("w", "POST", "/", "")
 		since := time.Now()
@@ -242,15 +242,59 @@
 		}
 		must.True(t, f.Quarantined(fingerprint))
 		path.partitioned = true
-		f.ForgetFailures(since)
+		f.DoubtFailures(since)
 		must.False(t, f.Quarantined(fingerprint))
 		for n := range maxFailures {
 			f.Suspect(fingerprint, backend.Server{ID: string(rune('a' + n))}, time.Now())
 		}
 		must.False(t, f.Quarantined(fingerprint))
+		time.Sleep(2 * quarantine.DoubtTime)
+		must.False(t, f.Quarantined(fingerprint))
 	})
 }
 
+// TestRequestThatEndsAllServersIsQuarantined guards against the failures of a request that ends
+// all servers of a small deployment being dropped, as this daemon then seems partitioned. The servers
+// come back as new ones, under their IDs or others; one that announced its shutdown does not count.
+func TestRequestThatEndsAllServersIsQuarantined(t *testing.T) {
+	for name, x := range map[string]struct {
+		before, later bool
+		draining      int
+		want          bool
+	}{
+		"before the partition was noticed": {before: true, want: true},
+		"during it":                        {want: true},
+		"long before they disappear":       {later: true},
+		"one shut down as planned":         {before: true, draining: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				path := &fakePath{partitioned: !x.before}
+				// The list of servers shows that theirs ended: it has others.
+				f, _ := newForwarderOf(t, &fakeClient{}, &store.Memory{}, map[string]string{"a": "", "other": ""})
+				f.SetPeers(path, &fakePeers{})
+				since := time.Now()
+				time.Sleep(time.Second)
+				for n, id := range []string{"a", "b", "c"} {
+					s := backend.Server{ID: id, StartedAt: time.Now().Add(-time.Hour)}
+					if n < x.draining {
+						s.Draining = true
+					}
+					f.Suspect(popular, s, time.Now())
+				}
+				if x.later {
+					f.suspects.recent.list[0].failedAt = time.Now().Add(-quarantine.DoubtTime)
+				}
+				path.partitioned = true
+				f.DoubtFailures(since)
+				must.Eq(t, x.want, f.Quarantined(popular))
+				counts, _ := f.Suspects()
+				must.Eq(t, x.want, len(counts[uint64(popular)]) == maxFailures, must.Sprint("sent to the other daemons"))
+			})
+		})
+	}
+}
+
 // recordedHead is a peer.Sink that records the response.
 type recordedHead struct {
 	recordedResponse
--- a/internal/front/forward/suspects.go
+++ b/internal/front/forward/suspects.go
@@ -55,6 +55,8 @@
 	failures map[quarantine.Fingerprint]*failures
 	// answered holds the requests that were answered lately: they are harmless.
 	answered *simplelru.LRU[quarantine.Fingerprint, struct{}]
+	// recent holds the failures of which it may turn out that they were none.
+	recent recentFailures
 }
 
 // failures counts the failures of one request until they expire.
@@ -79,6 +81,29 @@
 	c.ended.Remove(server)
 }
 
+// observe counts a failure, unless it is doubtful.
+func (s *suspects) observe(f failure) {
+	s.mutex.Lock()
+	s.recent.add(f)
+	s.mutex.Unlock()
+	if !f.doubtful {
+		s.add(f.request, f.incarnation(), f.begunAt, f.failedAt, f.progress)
+	}
+}
+
+// settle counts the doubtful failures during which the servers ended, according to a list of
+// servers, and returns them. leaves reports whether a server shuts down as planned.
+func (s *suspects) settle(servers *fleet.Servers, leaves func(backend.Server) bool, now time.Time) []failure {
+	s.mutex.Lock()
+	ended := s.recent.settle(servers, leaves, now)
+	s.mutex.Unlock()
+	for _, f := range ended {
+		s.add(f.request, f.incarnation(), f.begunAt, f.failedAt, f.progress)
+		s.confirm(f.request, f.incarnation())
+	}
+	return ended
+}
+
 // add counts a failure of a server during an attempt that began at a time, and drops
 // expired ones. progress is whether the attempt, of a stream, brought an event. A request
 // that has none yet replaces the one with the fewest if there are maxSuspects.
@@ -116,6 +141,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.failures, f)
+	s.recent.remove(func(r failure) bool { return r.request == f })
 	if s.answered == nil {
 		// The size is positive, so that there is no error.
 		s.answered, _ = simplelru.NewLRU[quarantine.Fingerprint, struct{}](maxAnswered, nil)
@@ -176,6 +202,7 @@
 func (s *suspects) alive(server uint64, begunAt time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.recent.remove(func(r failure) bool { return r.incarnation() == server && begunAt.After(r.failedAt) })
 	for f, c := range s.failures {
 		if at, ok := c.lastAt[server]; !ok || !begunAt.After(at) || c.ended.Contains(server) {
 			continue
@@ -187,10 +214,12 @@
 	}
 }
 
-// dropSince drops the failures since a time: the servers did not fail then.
-func (s *suspects) dropSince(since time.Time) {
+// doubtSince no longer counts the failures since a time, until their servers have shown whether
+// they ended.
+func (s *suspects) doubtSince(since time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.recent.doubtSince(since)
 	for f, c := range s.failures {
 		for server, at := range c.lastAt {
 			if !at.Before(since) {
@@ -254,6 +283,7 @@
 // incarnation. They are sent to the other daemons.
 func (f *Forwarder) Suspects() (counts, interrupted map[uint64]fleet.SuspectServers) {
 	f.departed.observe(f.fleet.Members().List, f.self, time.Now())
+	f.settleDoubts()
 	return f.suspects.active(time.Now())
 }
 
@@ -263,8 +293,8 @@
 	f.dial = d
 }
 
-// Suspect counts a failure of a server during an attempt that began at a time, unless this
-// daemon does not reach the servers.
+// Suspect counts a failure of a server during an attempt that began at a time. If this daemon
+// does not reach the servers, the failure counts once the server has shown that it ended.
 func (f *Forwarder) Suspect(p quarantine.Fingerprint, s backend.Server, begunAt time.Time) {
 	f.suspect(p, s, begunAt, false)
 	f.ifEnded(s, func() { f.suspects.confirm(p, xxhash.Sum64String(s.Incarnation())) })
@@ -300,10 +330,19 @@
 }
 
 func (f *Forwarder) suspect(p quarantine.Fingerprint, s backend.Server, begunAt time.Time, progress bool) {
-	if f.path != nil && f.path.Partitioned() || f.leaves(s) {
+	if f.leaves(s) {
 		return
 	}
-	f.suspects.add(p, xxhash.Sum64String(s.Incarnation()), begunAt, time.Now(), progress)
+	doubtful := f.path != nil && f.path.Partitioned()
+	f.suspects.observe(failure{request: p, server: s, begunAt: begunAt, failedAt: time.Now(), progress: progress, doubtful: doubtful})
+}
+
+// settleDoubts counts the failures that were observed while this daemon reached no server and
+// during which servers ended, as the list of servers shows by now.
+func (f *Forwarder) settleDoubts() {
+	for _, e := range f.suspects.settle(f.fleet.Servers(), f.leaves, time.Now()) {
+		f.log.Info("server ended while no server was reached", zap.String("Server", e.server.ID), zap.Duration("Ago", time.Since(e.failedAt)))
+	}
 }
 
 // leaves reports whether a server has announced that it shuts down, or whether operators evacuate
@@ -340,10 +379,10 @@
 	f.suspects.clear(p)
 }
 
-// ForgetFailures drops the failures of servers since a time: this daemon has not reached
-// them since then, and they were none.
-func (f *Forwarder) ForgetFailures(since time.Time) {
-	f.suspects.dropSince(since)
+// DoubtFailures is called when this daemon has not reached the servers since a time: their
+// failures since then count only once they have shown that they ended.
+func (f *Forwarder) DoubtFailures(since time.Time) {
+	f.suspects.doubtSince(since)
 }
 
 // Quarantined reports whether too many servers failed during a request, according
@@ -355,6 +394,7 @@
 // failureCount returns the number of interruptions during a request, and as many for each
 // failure as count for one. What several daemons observed of a server counts once.
 func (f *Forwarder) failureCount(p quarantine.Fingerprint) int {
+	f.settleDoubts()
 	counts, interrupted := f.suspects.of(p, time.Now())
 	add := func(m fleet.Member) {
 		counts = maxCounts(counts, m.Suspects[uint64(p)])
--- a/internal/front/forward/suspects_test.go
+++ b/internal/front/forward/suspects_test.go
@@ -98,7 +98,7 @@
 	s.confirm(popular, 1)
 	s.alive(1, crashedAt.Add(time.Second))
 	must.Eq(t, 1, s.count(crashedAt.Add(time.Second)))
-	s.dropSince(crashedAt)
+	s.doubtSince(crashedAt)
 	must.MapEmpty(t, s.failures)
 }
 
