Responses without end are charged to the memory of the daemon together

Failed and too long responses stayed charged until their request ended, and the first 64 KB of each came from the part reserved for small requests, so that callers of other servers got 503.

Change: all are charged, also at the peer; failed ones give their charge back; a response whose announced length exceeds the limit is not read; only the first 8 KB of a response of unknown length come from the reserved part.

TestWaitingResponsesLeaveRoomForSmallRequests and TestFailedResponsesGiveRoomBack fail without their mechanism.

--- a/internal/front/daemon/daemon.go
+++ b/internal/front/daemon/daemon.go
@@ -166,6 +166,7 @@
 	d.forwarder.SetPeers(d.reach, peer.NewClient(d.calls, d.fleet, self, log))
 	d.reach.OnPartition(d.onPartition)
 	d.peerRequests = peer.NewServer(d.forwarder, d.fleet, d.reach.Partitioned, s.CoreShare, log)
+	d.peerRequests.SetBudget(d.budget)
 	d.peerRequests.Handle(&d.mux)
 	d.runner = batch.NewRunner(d.fleet, ledger, client, d.limits, d.balancer, d.forwarder, p.Metrics, self, log)
 	d.runner.SetDomain(s.Domain)
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -273,14 +273,12 @@
 	return o
 }
 
-// readResponse reads the body of a response, as the daemon's memory allows.
+// readResponse reads the body of a response, as the daemon's memory allows. Its errors wrap
+// backend.ErrIncomplete.
 func readResponse(ctx context.Context, resp *backend.Response) ([]byte, error) {
 	b, err := intake.ReadResponse(ctx, resp.Body, resp.Length, maxBufferedBytes)
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, errors.Wrap(backend.ErrIncomplete, err.Error())
-	case len(b) > maxBufferedBytes:
-		return nil, errors.Wrapf(backend.ErrIncomplete, "body exceeds %d bytes", maxBufferedBytes)
 	}
 	return b, nil
 }
--- a/internal/front/forward/peers.go
+++ b/internal/front/forward/peers.go
@@ -163,7 +163,7 @@
 	}
 	defer resp.Body.Close()
 	o := outcome{server: resp.Peer, status: resp.Status, header: resp.Header}
-	o.body, o.err = backend.ReadBody(resp.Body, maxBufferedBytes)
+	o.body, o.err = readResponse(ctx, resp.Response)
 	return o
 }
 
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -171,7 +171,7 @@
 		if *started {
 			return errors.Wrapf(backend.ErrIncomplete, "status %d", resp.Status)
 		}
-		err := c.copyResponse(resp)
+		err := c.copyResponse(ctx, resp)
 		if err == nil && resp.Status < http.StatusInternalServerError {
 			c.Cleared(c.fingerprint)
 		}
@@ -294,8 +294,8 @@
 }
 
 // copyResponse passes on a response that is not a stream.
-func (c *call) copyResponse(resp *backend.Response) error {
-	b, err := backend.ReadBody(resp.Body, maxBufferedBytes)
+func (c *call) copyResponse(ctx context.Context, resp *backend.Response) error {
+	b, err := readResponse(ctx, resp)
 	if err != nil {
 		return err
 	}
--- a/internal/front/intake/body.go
+++ b/internal/front/intake/body.go
@@ -18,15 +18,25 @@
 	// firstStep is the first size of the buffer of a request's body, in bytes. Bodies of live
 	// requests fit.
 	firstStep = 4 << 10
-	// firstResponseStep is that of a response whose length is not known.
-	firstResponseStep = 64 << 10
+	// firstResponseStep is that of a response whose length is not known, and lastResponseStep
+	// the last one before its limit: responses that held more and waited for the rest could
+	// block each other.
+	firstResponseStep = 8 << 10
+	lastResponseStep  = 64 << 10
 	// stepFactor is the factor by which the buffer of a request's body grows until its final
-	// size is paid for: a client must send a part of that first.
-	stepFactor = 16
+	// size is paid for: a client must send a part of that first. responseStepFactor is that of a
+	// response.
+	stepFactor         = 16
+	responseStepFactor = 8
 )
 
-// ErrSlow is returned when a body arrives too slowly.
-var ErrSlow = errors.New("intake: body arrives too slowly")
+// Errors of bodies.
+var (
+	// ErrSlow is returned when a body arrives too slowly.
+	ErrSlow = errors.New("intake: body arrives too slowly")
+	// ErrTooLong is returned when a response exceeds its limit.
+	ErrTooLong = errors.New("intake: response is too long")
+)
 
 // Body describes the body of a request.
 type Body struct {
@@ -68,18 +78,25 @@
 }
 
 // ReadResponse reads the body of a server's response to the request of a context. It waits
-// for room in the budget until the context ends. The length is -1 if it is not known. It
-// reads at most one byte more than the limit.
+// for room in the budget until the context ends. The length is -1 if it is not known. Its
+// errors are ErrTooLong, if the body exceeds the limit, and those of the connection.
 func ReadResponse(ctx context.Context, body io.Reader, length, limit int64) ([]byte, error) {
-	f := buffer{length: length, limit: limit + 1, first: firstResponseStep, factor: limit, cost: 1, patience: math.MaxInt64, response: true}
-	switch {
-	case length > limit:
-		f.length = -1
-	case length > 0:
+	if length > limit {
+		return nil, errors.Wrapf(ErrTooLong, "%d bytes", length)
+	}
+	f := buffer{
+		length: length, limit: limit + 1, first: firstResponseStep, factor: responseStepFactor, last: lastResponseStep,
+		cost: 1, patience: math.MaxInt64, response: true,
+	}
+	if length > 0 {
 		// Responses that each held a part and waited for the rest could block each other.
 		f.first = length
 	}
-	return read(ctx, io.LimitReader(body, limit+1), f)
+	b, err := read(ctx, io.LimitReader(body, limit+1), f)
+	if err == nil && int64(len(b)) > limit {
+		err = errors.Wrapf(ErrTooLong, "more than %d bytes", limit)
+	}
+	return b, err
 }
 
 // buffer describes a buffer that grows in steps.
@@ -88,6 +105,8 @@
 	length, limit int64
 	// first is the size of the first step, and factor that by which it grows.
 	first, factor int64
+	// last is the size of the last step before the final one; 0 if there is no such limit.
+	last int64
 	// cost is the charge for each byte, and patience how long a step may wait for it.
 	cost     int64
 	patience time.Duration
@@ -95,19 +114,41 @@
 	response bool
 }
 
-// read reads up to the end into a buffer, each of whose steps is paid for first.
+// final returns the size of the final step.
+func (f buffer) final() int64 {
+	if f.length > 0 {
+		return f.length
+	}
+	return f.limit
+}
+
+// next returns the size of the step after one of a size.
+func (f buffer) next(size int64) int64 {
+	if f.last > 0 && size >= f.last {
+		return f.final()
+	}
+	return min(f.final(), size*f.factor)
+}
+
+// read reads up to the end into a buffer, each of whose steps is paid for first. What was paid for a
+// body that is not complete, or reaches the limit, is given back.
 func read(ctx context.Context, body io.Reader, f buffer) ([]byte, error) {
 	if f.length == 0 {
 		return nil, nil
 	}
 	a, _ := ctx.Value(accountKey{}).(*account)
-	final := f.limit
-	if f.length > 0 {
-		final = f.length
+	paid := charge{account: a, large: f.length > 0 && f.final()*f.cost > smallCharge, response: f.response, unknown: f.length < 0}
+	b, err := readSteps(ctx, body, f, &paid)
+	if err != nil || f.response && int64(len(b)) >= f.limit {
+		paid.release()
 	}
-	paid := charge{account: a, large: f.length > 0 && final*f.cost > smallCharge, response: f.response, unknown: f.length < 0}
+	return b, err
+}
+
+// readSteps reads up to the end into a buffer, whose steps a charge pays for.
+func readSteps(ctx context.Context, body io.Reader, f buffer, paid *charge) ([]byte, error) {
 	var b []byte
-	for size := min(final, f.first); ; size = min(final, size*f.factor) {
+	for size := min(f.final(), f.first); ; size = f.next(size) {
 		if err := paid.grow(ctx, size*f.cost, f.patience); err != nil {
 			return nil, err
 		}
@@ -125,7 +166,7 @@
 				return nil, err
 			}
 		}
-		if size == final {
+		if size == f.final() {
 			return readEnd(body, b)
 		}
 	}
--- a/internal/front/intake/budget.go
+++ b/internal/front/intake/budget.go
@@ -149,6 +149,13 @@
 	return &account{budget: b, holder: h}
 }
 
+// Begin begins a request that does not come from a client's connection: its responses are charged to
+// the budget by the context that it returns, until end is called.
+func (b *Budget) Begin(ctx context.Context) (charged context.Context, end func()) {
+	a := b.open(nil)
+	return context.WithValue(ctx, accountKey{}, a), a.end
+}
+
 // end gives back all that the account holds. Further charges fail.
 func (a *account) end() {
 	if a == nil || a.budget == nil {
@@ -214,6 +221,37 @@
 	}
 }
 
+// release gives back the charge, whose buffer is no longer used.
+func (c *charge) release() {
+	a := c.account
+	if a == nil || a.budget == nil || c.bytes == 0 {
+		return
+	}
+	b := a.budget
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if a.ended {
+		return
+	}
+	large := int64(0)
+	if c.large {
+		large = c.bytes
+	}
+	a.held -= c.bytes
+	a.heldLarge -= large
+	if c.bytes >= garbageThreshold {
+		a.heldGarbage -= c.bytes
+		b.garbage += c.bytes
+		b.largeGarbage += large
+	} else {
+		b.used -= c.bytes
+		b.largeUsed -= large
+	}
+	c.bytes, c.large = 0, false
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
 // try raises the charge if there is room.
 func (c *charge) try(bytes int64) (bool, <-chan struct{}, error) {
 	a := c.account
@@ -248,7 +286,7 @@
 	switch {
 	case c.large:
 		return more, more
-	case bytes > smallCharge, c.unknown && bytes > garbageThreshold:
+	case bytes > smallCharge, c.unknown && bytes > garbageThreshold, c.unknown && c.response && bytes > firstResponseStep:
 		return more, bytes
 	}
 	return more, 0
--- a/internal/front/intake/budget_test.go
+++ b/internal/front/intake/budget_test.go
@@ -90,6 +90,63 @@
 	})
 }
 
+// TestFailedResponsesGiveRoomBack guards against responses that never end keeping what they were
+// charged while their requests are sent to other servers.
+func TestFailedResponsesGiveRoomBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(40*mib, func() {})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		var w sync.WaitGroup
+		for n := range 300 {
+			w.Go(func() {
+				ctx, end := b.Begin(ctx)
+				defer end()
+				length := []int64{-1, 100 * mib}[n%2]
+				_, err := ReadResponse(ctx, endless{}, length, 4*mib)
+				test.ErrorIs(t, err, ErrTooLong)
+				time.Sleep(time.Minute)
+			})
+		}
+		synctest.Wait()
+		must.Zero(t, b.Used())
+		w.Wait()
+	})
+}
+
+// TestWaitingResponsesLeaveRoomForSmallRequests guards against responses of unknown length that
+// wait for room using up the part that is reserved for small requests.
+func TestWaitingResponsesLeaveRoomForSmallRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(40*mib, func() {})
+		largest, err := take(t, b, 30*mib, false)
+		must.NoError(t, err)
+		var w sync.WaitGroup
+		for range 300 {
+			w.Go(func() {
+				ctx, end := b.Begin(t.Context())
+				defer end()
+				out, err := ReadResponse(ctx, strings.NewReader(strings.Repeat("x", 100<<10)), -1, 4*mib)
+				test.NoError(t, err)
+				test.Eq(t, 100<<10, len(out))
+			})
+		}
+		synctest.Wait()
+		small, err := take(t, b, mib/2, false)
+		small.end()
+		largest.end()
+		w.Wait()
+		must.NoError(t, err)
+		must.Zero(t, b.Used())
+	})
+}
+
+// endless is a body without end.
+type endless struct{}
+
+// Read implements io.Reader.
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 // TestChargeWaitsForRoom guards against refusals while room becomes free, and against waiting
 // after the caller is gone.
 func TestChargeWaitsForRoom(t *testing.T) {
--- a/internal/front/peer/server.go
+++ b/internal/front/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
 	"github.com/lacewingtally/lacewingtally/internal/control/partition"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
+	"github.com/lacewingtally/lacewingtally/internal/front/intake"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
 )
 
@@ -56,7 +57,9 @@
 	partitioned func() bool
 	// most is the number of requests that run at the same time.
 	most int
-	log  *zap.Logger
+	// budget bounds what their responses hold; nil if nothing does.
+	budget *intake.Budget
+	log    *zap.Logger
 
 	mutex   sync.Mutex
 	running int
@@ -69,6 +72,12 @@
 	return &Server{runner: r, fleet: f, partitioned: partitioned, most: partition.MaxPeerRequests(share), log: log}
 }
 
+// SetBudget bounds what the responses to requests of other daemons hold. It must be called before
+// Handle.
+func (s *Server) SetBudget(b *intake.Budget) {
+	s.budget = b
+}
+
 // Handle registers the handler of requests.
 func (s *Server) Handle(m *wire.Mux) {
 	m.HandleStream(wire.KindRequest, s.handle)
@@ -115,6 +124,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
+	ctx, release := s.budget.Begin(ctx)
+	defer release()
 	s.fleet.RecordLeavingAtPeer(m.Leaving)
 	w := &partSink{fleet: s.fleet, send: send}
 	err = s.runner.RunForPeer(ctx, q, w)
