A daemon that leaves begins no request that it cannot answer

Cause: a request that was complete after the listeners were closed was passed on whatever its deadline, and those that still ran at the end were cut, though it was known that no response would come. The listeners were closed only after everything had been handed over (read, not shown).

Change: control/shutdown decides. Once the listeners are closed a request begins only if its deadline ends in time, others are refused as not run at once. 0.2 s before the end those without a response are answered (503 if not run, 502 otherwise). Handing over runs beside.

Before and after: TestRequestsOfLeavingDaemonAreAnswered: two of three requests got no response in the grace period before, all do now.

--- a/internal/front/daemon/leave.go
+++ b/internal/front/daemon/leave.go
@@ -8,41 +8,40 @@
 
 	"go.uber.org/zap"
 
+	"github.com/lacewingtally/lacewingtally/internal/control/shutdown"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 )
 
-const (
-	// balancerDelay is how long the balancer may take to notice that a daemon
-	// is no longer ready: two checks, one second apart, and some margin.
-	balancerDelay = 2300 * time.Millisecond
-	// storeHandOverTimeout limits the handing over of items through the store.
-	storeHandOverTimeout = 900 * time.Millisecond
-	// lastWritesReserve is the part of the grace period that is reserved for
-	// the last writes to the store.
-	lastWritesReserve = time.Second
-)
+// storeHandOverTimeout limits the handing over of items through the store.
+const storeHandOverTimeout = 900 * time.Millisecond
 
 // leave releases the duty, hands over all items, announces that the daemon is
-// leaving, and waits for running requests and the last usage counts. It ends about
-// lastWritesReserve before the grace period does.
+// leaving, and waits for running requests and the last usage counts.
 func (d *daemon) leave(callers *http.Server) {
 	startedAt := time.Now()
+	schedule := shutdown.New(startedAt, d.settings.Bounds.Grace)
 	d.leaving.Store(true)
-	d.log.Info("daemon leaving")
-	end := startedAt.Add(d.settings.Bounds.Grace - lastWritesReserve)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	d.forwarder.ShutDown(schedule)
+	d.log.Info("daemon leaving", zap.Time("ClosesAt", schedule.ClosesAt), zap.Time("EndsAt", schedule.EndsAt))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.EndsAt)
 	defer cancel()
+	var done sync.WaitGroup
+	// However long it takes, no request may come on a new connection meanwhile.
+	done.Go(func() { d.handOver(ctx, startedAt) })
+	fleet.Sleep(ctx, time.Until(schedule.ClosesAt))
+	done.Go(func() { d.peerRequests.Drain(ctx) })
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn("running requests interrupted at the end of the grace period", zap.Error(err))
+	}
+	done.Wait()
+	d.meter.Flush(context.Background())
+}
+
+// handOver hands over the duty and all items, and announces that the daemon is leaving.
+func (d *daemon) handOver(ctx context.Context, startedAt time.Time) {
 	d.keeper.Release(ctx)
 	d.runner.Leave(ctx, startedAt.Add(storeHandOverTimeout), d.calls)
 	if err := d.fleet.Heartbeat(ctx, d.member); err != nil {
 		d.log.Warn("cannot announce that the daemon is leaving", zap.Error(err))
 	}
-	fleet.Sleep(ctx, balancerDelay-time.Since(startedAt))
-	var drained sync.WaitGroup
-	drained.Go(func() { d.peerRequests.Drain(ctx) })
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn("running requests interrupted at the end of the grace period", zap.Error(err))
-	}
-	drained.Wait()
-	d.meter.Flush(context.Background())
 }
--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -174,6 +174,7 @@
 
 // deliver passes a response on to the caller.
 func (c *call) deliver(o outcome) error {
+	c.begun.Store(true)
 	c.sink.Begin(o.status, o.header, int64(len(o.body)))
 	return c.sink.Write(o.body)
 }
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -6,8 +6,11 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	base "github.com/lacewingtally/lacewingtally/internal/base/fleet"
@@ -16,6 +19,7 @@
 	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/control/quarantine"
 	"github.com/lacewingtally/lacewingtally/internal/control/route"
+	"github.com/lacewingtally/lacewingtally/internal/control/shutdown"
 	"github.com/lacewingtally/lacewingtally/internal/daemon/telemetry"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/balance"
@@ -38,6 +42,9 @@
 	maxLimitWait      = 500 * time.Millisecond
 )
 
+// errShutDown reports that this daemon shuts down.
+var errShutDown = errors.New("forward: daemon shuts down")
+
 // Request is a caller's request.
 type Request struct {
 	backend.Request
@@ -83,6 +90,13 @@
 	// path and through are nil until SetPeers: requests then go directly to servers only.
 	path    Path
 	through Peers
+	// shutdown is nil until this daemon shuts down.
+	shutdown atomic.Pointer[shutdown.Schedule]
+
+	mutex sync.Mutex
+	// calls are the requests of callers that run.
+	calls map[*call]struct{}
+
 	// caller calls the daemons that peers returns; both are nil until AskPeers.
 	caller wire.Caller
 	peers  func() []netip.AddrPort
@@ -129,6 +143,9 @@
 	// when it is certain whether the last of these servers ended; nil if none did.
 	breaks  int
 	decided <-chan struct{}
+	// begun is whether a part of the response has been passed on, and cancel ends the request.
+	begun  atomic.Bool
+	cancel context.CancelCauseFunc
 	// refused is whether a server has stated that it did not run it.
 	refused bool
 	// limited is the number of servers tried in the current round to which it was not
@@ -164,6 +181,9 @@
 	if !ok {
 		return route.Route{}, "", refusal.NotRun(refusal.ReasonNoRoute, time.Time{}, nil)
 	}
+	if err := f.admits(r); err != nil {
+		return route.Route{}, "", err
+	}
 	if r.Public {
 		return r, "", nil
 	}
@@ -185,6 +205,9 @@
 
 // Workspace returns the workspace of an API key. Its error is a *refusal.Error.
 func (f *Forwarder) Workspace(key string) (string, error) {
+	if err := f.admits(route.Route{Kind: route.Batch}); err != nil {
+		return "", err
+	}
 	return workspace(f.fleet.Config(), key)
 }
 
@@ -211,10 +234,15 @@
 			q.Deadline = end
 		}
 	}
+	if err := f.begins(q.Deadline); err != nil {
+		return err
+	}
 	q.SendBy = sendBy(q.ArrivedAt, q.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
 	c := f.newCall(r, q, s)
+	ctx, release := c.track(ctx)
+	defer release()
 	err := c.run(ctx)
 	if c.ran {
 		f.meter.Count(workspace, time.Since(q.ArrivedAt))
@@ -261,6 +289,9 @@
 // refusal returns the error for a request without a response.
 func (c *call) refusal(ctx context.Context, cause error) *refusal.Error {
 	over := ctx.Err() != nil
+	if errors.Is(context.Cause(ctx), errShutDown) {
+		return c.shutDownRefusal(cause)
+	}
 	switch {
 	case !c.ran && !over && c.refusedByPeer != nil:
 		return c.refusedByPeer
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -180,6 +180,7 @@
 	if !*started {
 		*started = true
 		c.serving = software
+		c.begun.Store(true)
 		c.sink.Begin(resp.Status, resp.Header, -1)
 	}
 	events := sse.NewReader(resp.Body)
