Rows that were read before prove nothing while the store does not answer

Cause: AwaitMembers reported that all rows had been read when the store did not answer this daemon, as if no other could write, and at once if it had not answered for 1.5 s, as after a freeze. So the daemon inferred the origin from rows of before the release. On the other side AwaitNamed let a stream begin at a version that the daemon's row did not name.

Change: only rows read after the request count; if that fails, all daemons are asked. Streams begin at versions that the daemon's row names, which are chosen first; one that can't be named is left out.

Before and after: TestRowsAreOldWhileTheStoreDoesNotAnswer, TestStreamBeginsAtNamedVersionsOnly (600 ms wait before) and one case of TestDaemonOutOfStepDoesNotJoinVersions fail before and pass now.

--- a/internal/front/fleet/beats.go
+++ b/internal/front/fleet/beats.go
@@ -140,20 +140,19 @@
 // AwaitHeartbeat waits until a heartbeat that begins after the call has been written, at most
 // for a time. It returns at once if this daemon writes none or the store is not reachable.
 func (f *State) AwaitHeartbeat(ctx context.Context, most time.Duration) {
-	f.awaitBeat(ctx, false, most)
+	if f.Reachable() {
+		f.awaitBeat(ctx, false, most)
+	}
 }
 
 // AwaitMembers waits until the rows of all daemons have been read after the call, at most for a
-// time, and reports whether they have. It also returns true if this daemon reads none or the
-// store is not reachable: no daemon can have written a row meanwhile.
+// time, and reports whether they have. It also returns true if this daemon reads none. A store that does
+// not answer this daemon may answer others, and rows that were read before may be old.
 func (f *State) AwaitMembers(ctx context.Context, most time.Duration) bool {
-	return f.awaitBeat(ctx, true, most) || !f.Reachable()
+	return f.awaitBeat(ctx, true, most)
 }
 
 func (f *State) awaitBeat(ctx context.Context, read bool, most time.Duration) bool {
-	if !f.Reachable() {
-		return true
-	}
 	done := f.beats.request(read)
 	if done == nil {
 		return true
@@ -177,13 +176,19 @@
 }
 
 // AwaitNamed waits until this daemon's row contains a software version of a service, at most
-// for a time: after the death of all daemons their rows show at which versions they can have
-// begun streams.
-func (f *State) AwaitNamed(ctx context.Context, service, software string, most time.Duration) {
-	f.mutex.Lock()
-	named := slices.Contains(f.named[service], software)
-	f.mutex.Unlock()
-	if !named {
-		f.AwaitHeartbeat(ctx, most)
+// for a time, and reports whether it does: after the death of all daemons, and while this one is cut off
+// from the others, the rows show at which versions streams can have begun.
+func (f *State) AwaitNamed(ctx context.Context, service, software string, most time.Duration) bool {
+	return f.Named(service, software) || f.awaitBeat(ctx, false, most) && f.Named(service, software)
+}
+
+// Named reports whether this daemon's row contains a software version of a service. It also returns
+// true if this daemon writes no row.
+func (f *State) Named(service, software string) bool {
+	if f.beats.id() == "" {
+		return true
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Contains(f.named[service], software)
 }
--- a/internal/front/fleet/beats_test.go
+++ b/internal/front/fleet/beats_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,3 +38,17 @@
 	must.NoError(t, msgpack.Unmarshal(s.Rows[0].Value, &written))
 	must.True(t, written.Leaving)
 }
+
+// TestRowsAreOldWhileTheStoreDoesNotAnswer guards against a daemon that the store does not answer
+// taking the rows that it read before for those of now: others may reach the store and write.
+func TestRowsAreOldWhileTheStoreDoesNotAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(&store.Memory{}, Codec{}, zap.NewNop())
+		must.True(t, f.AwaitMembers(t.Context(), time.Second), must.Sprint("this daemon reads no rows"))
+		f.beats.serve("self")
+		must.False(t, f.Reachable())
+		must.False(t, f.AwaitMembers(t.Context(), time.Second))
+		must.False(t, f.AwaitNamed(t.Context(), "s", "v2", time.Second))
+		must.False(t, f.Named("s", "v2"))
+	})
+}
--- a/internal/front/forward/forward.go
+++ b/internal/front/forward/forward.go
@@ -133,6 +133,8 @@
 	// software is the version of the servers' software that began the stream; empty
 	// before the first event.
 	software option.Option[string]
+	// unnamed holds the software versions that this daemon's row did not name in time.
+	unnamed set.Set[string]
 	// recorded is whether the stream's origin has been recorded.
 	recorded bool
 	// events is the number of events passed on.
--- a/internal/front/forward/origin_lost_test.go
+++ b/internal/front/forward/origin_lost_test.go
@@ -101,3 +101,115 @@
 		}
 	})
 }
+
+// cutStore is a store that a daemon does not reach while cut is set; others do.
+type cutStore struct {
+	store.Store
+
+	cut atomic.Bool
+}
+
+// Commit implements store.Store.
+func (s *cutStore) Commit(ctx context.Context, t store.Txn) (store.Snapshot, error) {
+	if s.cut.Load() {
+		return store.Snapshot{}, store.ErrUnavailable
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// Read implements store.Store.
+func (s *cutStore) Read(ctx context.Context, r store.Range) (store.Snapshot, error) {
+	if s.cut.Load() {
+		return store.Snapshot{}, store.ErrUnavailable
+	}
+	return s.Store.Read(ctx, r)
+}
+
+// TestDaemonOutOfStepDoesNotJoinVersions takes a stream up that another daemon began at servers of a
+// new software version, which joined while this daemon was cut off from the store or stood still. It
+// guards against the daemon taking its old rows for new ones and going on at the version that it knows.
+func TestDaemonOutOfStepDoesNotJoinVersions(t *testing.T) {
+	k := uint64(streamKeyOf("w", "first"))
+	for name, x := range map[string]struct {
+		// healed is whether the daemon reaches the store again when the request comes.
+		healed bool
+		// answer is that of its peers, after 1 ms, if they answer.
+		answer  originAnswer
+		answers bool
+		goesOn  bool
+	}{
+		"cut off":                          {},
+		"stood still":                      {healed: true},
+		"cut off, peers know the new one":  {answer: originAnswer{Software: "v2", Known: true}, answers: true},
+		"cut off, peers know the old one":  {answer: originAnswer{Software: "v1", Known: true}, answers: true, goesOn: true},
+		"cut off, peers did not begin it":  {answer: originAnswer{Complete: true}, answers: true},
+		"stood still, peers do not answer": {healed: true, answer: originAnswer{}, answers: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				client := &fakeClient{do: func(context.Context, int, backend.Server) (*backend.Response, error) {
+					return eventStream(3, 5, false), nil
+				}}
+				m := &store.Memory{}
+				cut := &cutStore{Store: m}
+				f, _ := newForwarderOf(t, client, cut, map[string]string{"a": "v1"})
+				peer := originPeer{answer: x.answer, after: time.Hour}
+				if x.answers {
+					peer.after = time.Millisecond
+				}
+				f.AskPeers(peer, func() []netip.AddrPort { return []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1")} })
+				other := fleet.New(m, fleet.Codec{}, zap.NewNop())
+				row := fleet.Member{ID: "other", NamesSoftware: true, InUse: map[string][]string{"s": {"v1"}}, Address: netip.MustParseAddrPort("127.0.0.2:1")}
+				must.NoError(t, other.Heartbeat(t.Context(), func() fleet.Member { return row }))
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() {
+					_ = f.fleet.ServeMembers(ctx, func() fleet.Member { return fleet.Member{ID: "self", NamesSoftware: true} })
+				}()
+				time.Sleep(time.Second)
+				cut.cut.Store(true)
+				row.InUse, row.Streams = map[string][]string{"s": {"v1", "v2"}}, map[string][]uint64{"v2": {k}}
+				must.NoError(t, other.Heartbeat(t.Context(), func() fleet.Member { return row }))
+				time.Sleep(10 * time.Second)
+				cut.cut.Store(!x.healed)
+				now := time.Now()
+				req := Request{Request: backend.Request{ID: "next", Deadline: now.Add(5 * time.Second), ResumeAfter: 2}, Resumes: "first", ArrivedAt: now}
+				err := f.Do(t.Context(), streamRoute(true), "w", req, &recordedResponse{})
+				must.Eq(t, x.goesOn, err == nil, must.Sprint(err))
+				must.Eq(t, x.goesOn, len(client.servers) > 0, must.Sprint("joined from two versions"))
+			})
+		})
+	}
+}
+
+// TestStreamBeginsAtNamedVersionsOnly guards against a daemon that is cut off from the store
+// beginning streams at a version that its row does not name: another daemon at which one is taken up
+// would take it for one that began at another version.
+func TestStreamBeginsAtNamedVersionsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &fakeClient{do: func(context.Context, int, backend.Server) (*backend.Response, error) {
+			return eventStream(1, 3, false), nil
+		}}
+		cut := &cutStore{Store: &store.Memory{}}
+		f, _ := newForwarderOf(t, client, cut, map[string]string{"a": "v1", "b": "v2", "c": "v2"})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			_ = f.fleet.ServeMembers(ctx, func() fleet.Member {
+				return fleet.Member{ID: "self", NamesSoftware: true, InUse: map[string][]string{"s": {"v1"}}}
+			})
+		}()
+		time.Sleep(time.Second)
+		cut.cut.Store(true)
+		time.Sleep(10 * time.Second)
+		for range 10 {
+			now := time.Now()
+			q := Request{Request: backend.Request{ID: "r", Deadline: now.Add(5 * time.Second)}, ArrivedAt: now}
+			must.NoError(t, f.Do(t.Context(), streamRoute(true), "w", q, &recordedResponse{}))
+			must.Less(t, maxNameTime, time.Since(now), must.Sprint("waited for a version although there is another"))
+		}
+		for _, id := range client.servers {
+			must.Eq(t, "a", id)
+		}
+	})
+}
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -1,45 +1,22 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
-	"github.com/lacewingtally/lacewingtally/internal/base/option"
-	"github.com/lacewingtally/lacewingtally/internal/base/refusal"
-	"github.com/lacewingtally/lacewingtally/internal/base/set"
 	"github.com/lacewingtally/lacewingtally/internal/front/backend"
 	"github.com/lacewingtally/lacewingtally/internal/front/fleet"
 	"github.com/lacewingtally/lacewingtally/internal/front/metrics"
 	"github.com/lacewingtally/lacewingtally/internal/front/sse"
 )
 
-// Causes of the refusal of a stream, and of its end.
-var (
-	errUnknownOrigin = errors.New("forward: software version of the stream is not known")
-	errOriginGone    = errors.New("forward: no server of the stream's software version")
-	// errBroken reports that the connection broke while a stream was read.
-	errBroken = errors.Wrap(backend.ErrIncomplete, "stream")
-)
-
-// retryAfterUnknownOrigin is the delay after which a caller should take a stream up again
-// whose origin is not known: by then another daemon's heartbeat may contain it.
-const retryAfterUnknownOrigin = 400 * time.Millisecond
-
-const (
-	// maxRecordTime bounds the wait until the record of a stream is in the store.
-	maxRecordTime = 100 * time.Millisecond
-	// maxNameTime bounds the wait until this daemon's row contains a software version, and
-	// until the rows of all daemons have been read.
-	maxNameTime = 500 * time.Millisecond
-)
+// errBroken reports that the connection broke while a stream was read.
+var errBroken = errors.Wrap(backend.ErrIncomplete, "stream")
 
 // stream passes events on to the caller as they arrive. If the connection is lost,
 // a resumable stream continues on another server.
@@ -109,7 +86,7 @@
 	if through && c.path.Silent() {
 		return errNoServer
 	}
-	s, ok := c.balancer.Choose(c.fleet.Servers().List, c.service, c.mayTry)
+	s, ok := c.chooseForStream()
 	if !ok {
 		return errNoServer
 	}
@@ -136,8 +113,8 @@
 	ctx, end := c.beginMovable(ctx, s)
 	defer end()
 	events := c.events
-	if c.route.Resumable && c.request.Resumes == "" {
-		c.fleet.AwaitNamed(ctx, s.Service, s.Software, maxNameTime)
+	if err := c.awaitNamed(ctx, s); err != nil {
+		return err
 	}
 	resp, err := c.client.Do(ctx, s, c.request.Request)
 	if err != nil {
@@ -207,86 +184,6 @@
 	}
 }
 
-// findOrigin determines the software version that can continue the stream that the caller
-// takes up, if it does. It returns a refusal if that version is not known although there
-// are several, or if none of its servers is left.
-func (c *call) findOrigin(ctx context.Context) error {
-	if _, known := c.software.Get(); known || c.request.ResumeAfter == 0 {
-		return nil
-	}
-	k := c.streamKey()
-	versions, complete := c.origins.software(k)
-	versions = addVersions(versions, c.fleet.StreamSoftware(uint64(k)))
-	known := len(versions) > 0
-	var notAt set.Set[netip.AddrPort]
-	if !known && c.fleet.MixedSoftware(c.service) {
-		versions, notAt = c.queryOrigin(ctx, k)
-		known = len(versions) > 0
-	}
-	if !known {
-		versions = c.inferOrigin(ctx, k, notAt, complete)
-	}
-	if len(versions) != 1 {
-		return refusal.NotRun(refusal.ReasonNoServer, time.Now().Add(retryAfterUnknownOrigin), errUnknownOrigin)
-	}
-	software := versions[0]
-	c.logTakenUp(software, known)
-	c.software = option.Some(software)
-	switch {
-	case c.hasServer():
-	case c.evacuated():
-		return refusal.NotRun(refusal.ReasonEvacuated, time.Now().Add(retryAfterEvacuated), errOriginGone)
-	default:
-		return refusal.NotRun(refusal.ReasonNoServer, time.Time{}, errOriginGone)
-	}
-	return nil
-}
-
-// inferOrigin returns the software versions at which a stream can have begun whose record may
-// have been lost with its daemon. The stream can continue if there is exactly one. A daemon's row
-// contains a version before the daemon begins a stream at it, so that rows read from now on
-// suffice. notAt and notHere are as in fleet.State.PossibleSoftware.
-func (c *call) inferOrigin(ctx context.Context, k streamKey, notAt set.Set[netip.AddrPort], notHere bool) []string {
-	versions, ok := c.fleet.PossibleSoftware(c.service, notAt, notHere)
-	if !ok || len(versions) != 1 || !c.fleet.AwaitMembers(ctx, maxNameTime) {
-		return nil
-	}
-	if recorded := c.fleet.StreamSoftware(uint64(k)); len(recorded) > 0 {
-		return recorded
-	}
-	versions, _ = c.fleet.PossibleSoftware(c.service, notAt, notHere)
-	return versions
-}
-
-// logTakenUp logs that a stream is taken up, and which software version began it, if that is
-// known.
-func (c *call) logTakenUp(software string, known bool) {
-	c.log.Info("stream taken up", zap.String("Request", c.request.ID), zap.String("Resumes", c.request.Resumes),
-		zap.Int("After", c.request.ResumeAfter), zap.Bool("Known", known), zap.String("Software", software))
-}
-
-// recordOrigin records that a server with a software version has sent an event, before the
-// event is passed on: the caller may take the stream up elsewhere as soon as it has it. While
-// several versions serve, it waits until the record is in the store, which survives all
-// daemons.
-func (c *call) recordOrigin(ctx context.Context, software string) {
-	if c.recorded {
-		return
-	}
-	c.recorded = true
-	c.software = option.Some(software)
-	c.origins.record(c.streamKey(), c.service, software)
-	if c.route.Resumable && c.request.Resumes == "" && c.fleet.MixedSoftware(c.service) {
-		c.fleet.AwaitHeartbeat(ctx, maxRecordTime)
-	}
-}
-
-// streamKey returns the key of the stream: that of the attempt that brought its first
-// event.
-func (c *call) streamKey() streamKey {
-	return streamKeyOf(c.request.Workspace, cmp.Or(c.request.Resumes, c.request.ID))
-}
-
 // hasServer reports whether a server is in use that can run the request.
 func (c *call) hasServer() bool {
 	return slices.ContainsFunc(c.fleet.Servers().List, func(s backend.Server) bool {
