endtoend: a lease test that fails dumps the daemons' threads and goroutines

Change: if the test fails it logs the state of each daemon's threads from /proc and sends SIGQUIT, so that the goroutines are in the kept output.

--- a/internal/daemon/endtoend/lease_test.go
+++ b/internal/daemon/endtoend/lease_test.go
@@ -58,6 +58,9 @@
 	defer func() {
 		if t.Failed() {
 			t.Logf("daemon %d frozen at %s; daemon %d reports %v", old, frozenAt.UTC().Format(time.RFC3339Nano), other, c.status(other).GetLeases())
+			for _, d := range c.daemons {
+				d.dump(t)
+			}
 		}
 	}()
 	var successor int
--- a/internal/daemon/endtoend/process_test.go
+++ b/internal/daemon/endtoend/process_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -156,6 +157,37 @@
 	t.Logf("output of %s is in %s", p.name, f)
 }
 
+// dumpTimeout bounds the wait until a process has written its goroutines and ended.
+const dumpTimeout = 10 * time.Second
+
+// dump logs in what states the threads of the process are, and makes it write its goroutines to its
+// output and end: it does so unless it does not run at all.
+func (p *process) dump(t *testing.T) {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.command.Process.Pid))
+	if err != nil {
+		t.Log(err)
+	}
+	for _, thread := range threads {
+		var lines []string
+		for _, file := range []string{"stat", "wchan", "syscall"} {
+			// A thread may have ended, and some files may not be readable.
+			b, err := os.ReadFile(filepath.Join(thread, file))
+			lines = append(lines, strings.TrimSpace(string(b)))
+			if err != nil {
+				lines = append(lines, err.Error())
+			}
+		}
+		t.Logf("%s: thread %s", p.name, strings.Join(lines, "; "))
+	}
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-p.ended:
+	case <-time.After(dumpTimeout):
+		t.Logf("%s has not ended %v after SIGQUIT", p.name, dumpTimeout)
+	}
+}
+
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
 // eventually waits until a condition holds, and fails the test after waitTimeout.
