TestSurgeIsAnsweredOrRefusedAtOnce: the work of a request follows from its ID

Cause: the stand-in chose the work by the order of the calls on all servers, which differs where requests are sent at one moment and more than one CPU runs them; seldom one of 255 took longer than the target.

Change: the work follows from the request's ID. All checks are unchanged.

--- a/internal/front/forward/forward_test.go
+++ b/internal/front/forward/forward_test.go
@@ -90,7 +90,7 @@
 
 // newForwarderOf returns a Forwarder with a store and the servers with the given IDs and
 // software versions.
-func newForwarderOf(t *testing.T, c *fakeClient, m store.Store, software map[string]string) (*Forwarder, *fakeMeter) {
+func newForwarderOf(t *testing.T, c backend.Client, m store.Store, software map[string]string) (*Forwarder, *fakeMeter) {
 	t.Helper()
 	for id, v := range software {
 		_, err := m.Commit(t.Context(), store.Txn{Puts: []store.Row{{Key: store.Key{Table: "servers", Name: id}, Value: []byte(v)}}})
--- a/internal/front/forward/surge_test.go
+++ b/internal/front/forward/surge_test.go
@@ -64,6 +64,24 @@
 	return r, nil
 }
 
+// surgeClient sends requests to servers. The work of a request follows from its ID, not from the
+// order in which requests are sent at one moment: that differs from run to run.
+type surgeClient struct {
+	backend.Client
+
+	servers map[string]*surgeServer
+	reports bool
+}
+
+// Do implements backend.Client.
+func (c *surgeClient) Do(ctx context.Context, to backend.Server, q backend.Request) (*backend.Response, error) {
+	n, err := strconv.Atoi(q.ID)
+	if err != nil {
+		return nil, err
+	}
+	return c.servers[to.ID].run(ctx, surgeWork/2+surgeWork*time.Duration(n%16)/15, c.reports)
+}
+
 // surgeResult counts the callers of a replay by what they got.
 type surgeResult struct {
 	mutex                                      sync.Mutex
@@ -83,9 +101,7 @@
 		for _, id := range []string{"a", "b", "c"} {
 			servers[id], software[id] = &surgeServer{slots: make(chan struct{}, surgeSlots)}, ""
 		}
-		c := &fakeClient{do: func(ctx context.Context, n int, s backend.Server) (*backend.Response, error) {
-			return servers[s.ID].run(ctx, surgeWork/2+surgeWork*time.Duration(n%16)/15, reports)
-		}}
+		c := &surgeClient{servers: servers, reports: reports}
 		var m store.Memory
 		daemons := make([]*Forwarder, 77)
 		for i := range daemons {
