--- a/internal/front/forward/buffered.go
+++ b/internal/front/forward/buffered.go
@@ -95,7 +95,7 @@
 			}
 			last = better(last, o)
 			c.logFailure(o)
-			if refused := c.condemned(o.err); refused != nil {
+			if refused := c.quarantineRefusal(o.err); refused != nil {
 				if running == 0 {
 					return refused
 				}
--- a/internal/front/forward/quarantined.go
+++ b/internal/front/forward/quarantined.go
@@ -135,9 +135,9 @@
 	c.decided = nil
 }
 
-// condemned returns the refusal of a request that has run, if it is the cause of the failures of
+// quarantineRefusal returns the refusal of a request that has run, if it is the cause of the failures of
 // its servers; nil otherwise.
-func (c *call) condemned(cause error) error {
+func (c *call) quarantineRefusal(cause error) error {
 	if !c.ran || !c.Quarantined(c.fingerprint) {
 		return nil
 	}
--- a/internal/front/forward/stream.go
+++ b/internal/front/forward/stream.go
@@ -35,7 +35,7 @@
 			return nil
 		}
 		c.awaitDecision(ctx)
-		if refused := c.condemned(err); refused != nil {
+		if refused := c.quarantineRefusal(err); refused != nil {
 			return refused
 		}
 		if errors.Is(err, errNoServer) {
