Probes of the store are no stricter than its calls

Cause: a direct call of the store may take 0.7 s, but the probe that brings a daemon back to it after a late answer only 0.4 s. A store that takes between the two for each answer keeps all daemons away, and with all away no peer is left to ask.

Evidence: the daemons' lines (one "store itself not reached" each, none "reached directly again"); TestSlowStoreIsReachedAgain fails at 450 ms and 650 ms before, passes after.

Change: probes have the bound of calls, and don't wait for each other. The line of the first failure has the error's text, every tenth failed probe a line.

--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -35,13 +35,14 @@
 	// probeInterval is the time between two attempts to reach the store directly
 	// while it is unreachable.
 	probeInterval = 400 * time.Millisecond
-	// probeTimeout bounds one such attempt.
-	probeTimeout = 400 * time.Millisecond
+	// loggedProbe is the number of failed attempts after which one is logged.
+	loggedProbe = 10
 	// isolatedAfter is the time without a response from a peer after which a daemon
 	// that cannot reach the store is considered isolated.
 	isolatedAfter = 1500 * time.Millisecond
-	// directTimeout bounds one direct call, in addition to the wait of a feed.
-	// After it the store is considered unreachable.
+	// directTimeout bounds one direct call, in addition to the wait of a feed, and one
+	// probe: what is slow enough for calls brings the daemon back. After it the store is
+	// considered unreachable.
 	directTimeout = 700 * time.Millisecond
 )
 
@@ -57,6 +58,8 @@
 	mutex sync.Mutex
 	// unreachable is whether the store cannot be reached directly.
 	unreachable bool
+	// failedProbes is the number of probes that failed since then.
+	failedProbes int
 	// lastPeer is the peer that last relayed a call successfully; zero if none.
 	lastPeer netip.AddrPort
 	// backoffUntil holds the time at which each failed peer may be tried normally
@@ -84,7 +87,8 @@
 		if s.Unreachable() {
 			return response{Fault: faultUnavailable}, nil
 		}
-		return s.callDirect(ctx, c), nil
+		resp, _ := s.callDirect(ctx, c)
+		return resp, nil
 	})
 }
 
@@ -135,13 +139,13 @@
 		return s.viaPeers(ctx, c)
 	}
 	direct, cancel := context.WithTimeout(ctx, directTimeout+c.Wait)
-	resp := s.callDirect(direct, c)
+	resp, cause := s.callDirect(direct, c)
 	cancel()
 	err := resp.err()
 	if !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrUnknown) || ctx.Err() == context.Canceled {
 		return resp, err
 	}
-	s.markUnreachable(err)
+	s.markUnreachable(cause)
 	if errors.Is(err, store.ErrUnknown) && c.Op == opCommit {
 		// The write may have taken effect: the caller decides whether to repeat it.
 		return resp, err
@@ -171,8 +175,8 @@
 	return response{}, store.ErrUnavailable
 }
 
-// callDirect calls the store directly.
-func (s *Store) callDirect(ctx context.Context, c call) response {
+// callDirect calls the store directly. The response has the fault of the error.
+func (s *Store) callDirect(ctx context.Context, c call) (response, error) {
 	var resp response
 	var err error
 	switch c.Op {
@@ -190,14 +194,16 @@
 		resp.Snapshot, err = s.direct.Read(ctx, c.Range)
 	}
 	resp.Fault = faultOf(err)
-	return resp
+	return resp, err
 }
 
 // Serve probes the store while it cannot be reached directly, until the context
-// ends.
+// ends. A probe does not wait for the one before: that may hang.
 func (s *Store) Serve(ctx context.Context) error {
 	t := time.NewTicker(probeInterval)
 	defer t.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -205,21 +211,26 @@
 		case <-t.C:
 		}
 		if s.Unreachable() {
-			s.probe(ctx)
+			probes.Go(func() { s.probe(ctx) })
 		}
 	}
 }
 
 func (s *Store) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, directTimeout)
 	defer cancel()
-	if _, err := s.direct.Read(ctx, store.Range{Table: probeTable, Limit: 1}); err != nil {
-		return
-	}
+	_, err := s.direct.Read(ctx, store.Range{Table: probeTable, Limit: 1})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.unreachable = false
-	s.log.Info("store reached directly again")
+	if err == nil {
+		s.unreachable, s.failedProbes = false, 0
+		s.log.Info("store reached directly again")
+		return
+	}
+	s.failedProbes++
+	if s.failedProbes%loggedProbe == 0 {
+		s.log.Warn("store still not reached directly", zap.Int("Probes", s.failedProbes), zap.Error(err))
+	}
 }
 
 // probeTable is read to check whether the store answers; it may be empty.
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -222,3 +224,45 @@
 		must.Eq(t, []string{"1499"}, rest)
 	}
 }
+
+// slowStore is a store that takes a time for each read.
+type slowStore struct {
+	store.Store
+
+	// takes is that time, in nanoseconds.
+	takes atomic.Int64
+}
+
+// Read implements store.Store.
+func (l *slowStore) Read(ctx context.Context, g store.Range) (store.Snapshot, error) {
+	select {
+	case <-time.After(time.Duration(l.takes.Load())):
+		return l.Store.Read(ctx, g)
+	case <-ctx.Done():
+		return store.Snapshot{}, store.ErrUnknown
+	}
+}
+
+// TestSlowStoreIsReachedAgain guards against probes that are stricter than calls: after one call
+// that took too long, daemons refused their callers for as long as the store stayed slow.
+func TestSlowStoreIsReachedAgain(t *testing.T) {
+	for _, takes := range []time.Duration{0, 200 * time.Millisecond, 450 * time.Millisecond, 650 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				direct := &slowStore{Store: &store.Memory{}}
+				direct.takes.Store(int64(2 * directTimeout))
+				s := New(direct, nil, func() []netip.AddrPort { return nil }, zap.NewNop())
+				go func() { _ = s.Serve(ctx) }()
+				_, err := s.Read(ctx, store.Range{Table: "t"})
+				must.ErrorIs(t, err, store.ErrUnavailable)
+				direct.takes.Store(int64(takes))
+				time.Sleep(2 * time.Second)
+				_, err = s.Read(ctx, store.Range{Table: "t"})
+				must.NoError(t, err)
+				must.False(t, s.Unreachable())
+			})
+		})
+	}
+}
