--- a/internal/front/store/memory.go
+++ b/internal/front/store/memory.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -26,7 +27,8 @@
 	// names holds the names of the rows of each part.
 	names map[partKey]map[string]bool
 	// parts caches the result of partsOf.
-	parts   map[string][]string
+	parts map[string][]string
+	// history is ordered by version.
 	history []Row
 	// dropped is the version up to which the history has been dropped.
 	dropped int64
@@ -193,8 +195,9 @@
 		return Snapshot{}, nil, ErrCompacted
 	}
 	s := Snapshot{Version: m.version, Now: time.Now()}
-	for _, r := range m.history {
-		if r.Key.Table == table && r.Version > after {
+	first, _ := slices.BinarySearchFunc(m.history, after+1, func(r Row, v int64) int { return cmp.Compare(r.Version, v) })
+	for _, r := range m.history[first:] {
+		if r.Key.Table == table {
 			s.Rows = append(s.Rows, r)
 		}
 	}
