Streams are taken up while the store is slow

Cause: the wait for rows read after the request was 500 ms, and a requested read took up to four calls of the store: those in progress, then a heartbeat that it did not need. At 360 daemons the time between two requested heartbeats is 900 ms alone.

Change: a requested read needs no heartbeat and does not put off the next one; the wait lasts up to 2 s while the store answers this daemon, 500 ms otherwise.

TestRequestedReadsAndHeartbeats fails before.

--- a/internal/front/fleet/beats.go
+++ b/internal/front/fleet/beats.go
@@ -100,6 +100,13 @@
 	return slices.ContainsFunc(b.waiting, func(r beatRequest) bool { return r.read })
 }
 
+// wantsOnlyReads reports whether requests wait and none asks for a heartbeat.
+func (b *beats) wantsOnlyReads() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.waiting) > 0 && !slices.ContainsFunc(b.waiting, func(r beatRequest) bool { return !r.read })
+}
+
 // earlyInterval returns the minimum time between two heartbeats of a daemon in a fleet of a
 // number of daemons.
 func earlyInterval(daemons int) time.Duration {
--- a/internal/front/fleet/beats_test.go
+++ b/internal/front/fleet/beats_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,3 +53,60 @@
 		must.False(t, f.Named("s", "v2"))
 	})
 }
+
+// countingStore counts writes, and takes a time for each call.
+type countingStore struct {
+	store.Store
+
+	takes  time.Duration
+	writes atomic.Int64
+}
+
+// Commit implements store.Store.
+func (c *countingStore) Commit(ctx context.Context, t store.Txn) (store.Snapshot, error) {
+	c.writes.Add(1)
+	time.Sleep(c.takes)
+	return c.Store.Commit(ctx, t)
+}
+
+// Read implements store.Store.
+func (c *countingStore) Read(ctx context.Context, r store.Range) (store.Snapshot, error) {
+	time.Sleep(c.takes)
+	return c.Store.Read(ctx, r)
+}
+
+// TestRequestedReadsAndHeartbeats guards against streams that are taken up being refused while the
+// store is slow, as a requested read waits for more calls than it needs, and against heartbeats that
+// requested reads put off.
+func TestRequestedReadsAndHeartbeats(t *testing.T) {
+	for _, takes := range []time.Duration{4 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(takes.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, stop := context.WithCancel(t.Context())
+				m := &countingStore{Store: &store.Memory{}, takes: takes}
+				f := New(m, Codec{}, zap.NewNop())
+				var g sync.WaitGroup
+				g.Go(func() { _ = f.ServeMembers(ctx, func() Member { return Member{ID: "a"} }) })
+				time.Sleep(3 * time.Second)
+				writes := m.writes.Load()
+				const span = 10 * time.Second
+				var calls sync.WaitGroup
+				for n := range 5 {
+					calls.Go(func() {
+						time.Sleep(time.Duration(n) * takes / 5)
+						for begun := time.Now(); time.Since(begun) < span; {
+							// A heartbeat and a read may be in progress.
+							if !f.AwaitMembers(ctx, 3*takes+2*minEarlyInterval) {
+								t.Error("a requested read came late")
+							}
+						}
+					})
+				}
+				calls.Wait()
+				must.GreaterEq(t, int64(span/(heartbeatInterval+minEarlyInterval+3*takes)), m.writes.Load()-writes)
+				stop()
+				g.Wait()
+			})
+		})
+	}
+}
--- a/internal/front/fleet/members.go
+++ b/internal/front/fleet/members.go
@@ -202,11 +202,25 @@
 	for ctx.Err() == nil {
 		reads := f.beat(ctx, self)
 		f.beats.end(reads, true, f.readMembers(ctx, &l))
-		f.pauseBeats(ctx, l.interval(), earlyInterval(len(l.daemons)), self)
+		f.pauseMembers(ctx, &l, self)
 	}
 	return nil
 }
 
+// pauseMembers waits for the time between two heartbeats, and meanwhile writes and reads rows as
+// requested. Reads need no heartbeat, and do not put off the next one.
+func (f *State) pauseMembers(ctx context.Context, l *liveness, self func() Member) {
+	end := time.Now().Add(l.interval())
+	for {
+		f.pauseBeats(ctx, time.Until(end), earlyInterval(len(l.daemons)), self)
+		if ctx.Err() != nil || !time.Now().Before(end) || !f.beats.wantsOnlyReads() {
+			return
+		}
+		reads := f.beats.begin()
+		f.beats.end(reads, true, f.readMembers(ctx, l))
+	}
+}
+
 // Heartbeat writes the daemon's own row, which self returns, once. Rows are collected and
 // written one at a time, so that an older one does not replace a newer one.
 func (f *State) Heartbeat(ctx context.Context, self func() Member) error {
--- a/internal/front/forward/streamorigin.go
+++ b/internal/front/forward/streamorigin.go
@@ -29,10 +29,21 @@
 	// maxRecordTime bounds the wait until the record of a stream is in the store.
 	maxRecordTime = 100 * time.Millisecond
 	// maxNameTime bounds the wait until this daemon's row contains a software version, and
-	// until the rows of all daemons have been read.
-	maxNameTime = 500 * time.Millisecond
+	// until the rows of all daemons have been read: in a large fleet after earlyInterval, and in
+	// a slow store after the calls that are in progress. lostNameTime is that bound while the
+	// store does not answer.
+	maxNameTime  = 2 * time.Second
+	lostNameTime = 500 * time.Millisecond
 )
 
+// nameTime returns the bound of a wait for the daemons' rows.
+func (c *call) nameTime() time.Duration {
+	if c.fleet.Reachable() {
+		return maxNameTime
+	}
+	return lostNameTime
+}
+
 // findOrigin determines the software version that can continue the stream that the caller
 // takes up, if it does. It returns a refusal if that version is not known although there
 // are several, or if none of its servers is left.
@@ -87,7 +98,7 @@
 // suffice. notAt and notHere are as in fleet.State.PossibleSoftware.
 func (c *call) inferOrigin(ctx context.Context, k streamKey, notAt set.Set[netip.AddrPort], notHere bool) []string {
 	versions, ok := c.fleet.PossibleSoftware(c.service, notAt, notHere)
-	if !ok || len(versions) != 1 || !c.fleet.AwaitMembers(ctx, maxNameTime) {
+	if !ok || len(versions) != 1 || !c.fleet.AwaitMembers(ctx, c.nameTime()) {
 		return nil
 	}
 	if recorded := c.fleet.StreamSoftware(uint64(k)); len(recorded) > 0 {
@@ -151,7 +162,7 @@
 	if !c.mayBeTakenUp() {
 		return nil
 	}
-	if c.unnamed.Contains(s.Software) || !c.fleet.AwaitNamed(ctx, s.Service, s.Software, maxNameTime) {
+	if c.unnamed.Contains(s.Software) || !c.fleet.AwaitNamed(ctx, s.Service, s.Software, c.nameTime()) {
 		c.unnamed.Add(s.Software)
 		return errors.Wrap(backend.ErrNotSent, "software version is not in this daemon's row")
 	}
