The return to the store is logged once

With two probes on their way both logged it, and a late failure was counted for the next outage. TestSlowStoreIsReachedAgain fails at 450 ms and 650 ms before.

--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -222,6 +222,10 @@
 	_, err := s.direct.Read(ctx, store.Range{Table: probeTable, Limit: 1})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.unreachable {
+		// Another probe was answered first.
+		return
+	}
 	if err == nil {
 		s.unreachable, s.failedProbes = false, 0
 		s.log.Info("store reached directly again")
--- a/internal/front/relay/relay_test.go
+++ b/internal/front/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/lacewingtally/lacewingtally/internal/front/store"
 	"github.com/lacewingtally/lacewingtally/internal/peer/wire"
@@ -253,7 +254,8 @@
 				defer stop()
 				direct := &slowStore{Store: &store.Memory{}}
 				direct.takes.Store(int64(2 * directTimeout))
-				s := New(direct, nil, func() []netip.AddrPort { return nil }, zap.NewNop())
+				core, logged := observer.New(zap.InfoLevel)
+				s := New(direct, nil, func() []netip.AddrPort { return nil }, zap.New(core))
 				go func() { _ = s.Serve(ctx) }()
 				_, err := s.Read(ctx, store.Range{Table: "t"})
 				must.ErrorIs(t, err, store.ErrUnavailable)
@@ -262,6 +264,7 @@
 				_, err = s.Read(ctx, store.Range{Table: "t"})
 				must.NoError(t, err)
 				must.False(t, s.Unreachable())
+				must.Eq(t, 1, logged.FilterMessage("store reached directly again").Len())
 			})
 		})
 	}
