A dump of a daemon says whether it had ended before

TestLeaseHolderFrozen failed with a daemon that logs nothing after it was resumed. That a daemon which was killed looks the same had been overlooked.

--- a/internal/daemon/endtoend/process_test.go
+++ b/internal/daemon/endtoend/process_test.go
@@ -160,10 +160,17 @@
 // dumpTimeout bounds the wait until a process has written its goroutines and ended.
 const dumpTimeout = 10 * time.Second
 
-// dump logs in what states the threads of the process are, and makes it write its goroutines to its
-// output and end: it does so unless it does not run at all.
+// dump logs how the process has ended, if it has: one that was killed also logs nothing more. Otherwise it logs in
+// what states its threads are, and makes it write its goroutines to its output and end: it does so unless
+// it does not run at all.
 func (p *process) dump(t *testing.T) {
 	t.Helper()
+	select {
+	case <-p.ended:
+		t.Logf("%s has ended before: %v", p.name, p.err)
+		return
+	default:
+	}
 	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*", p.command.Process.Pid))
 	if err != nil {
 		t.Log(err)
