--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -41,7 +41,7 @@
 	// that cannot reach the store is considered isolated.
 	isolatedAfter = 1500 * time.Millisecond
 	// directTimeout bounds one direct call, in addition to the wait of a feed, and one
-	// probe: what is slow enough for calls brings the daemon back. After it the store is
+	// probe: a store that is fast enough for calls is reached again. After it the store is
 	// considered unreachable.
 	directTimeout = 700 * time.Millisecond
 )
