A response that is cut off by a reset no longer counts as complete

Callers saw: a server answered a long upload at once with a 200 (or a 404, or a stream) without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports once that a connection was reset. If the write that is under way gets ECONNRESET, a read that follows gets the bytes received so far and then the same end of the stream as after a FIN. A body without a length ends where the connection ends, so net/http reported it as complete. With a small request nothing is being written, and the read gets the error.

Change: the connections of base/transport, over which all HTTP responses are read, keep the error of a write that broke. Where a read ends, it ends with that error, if there is one. A write that is still under way at that moment is ended first, as it may have got the error and not recorded it yet: net/http gives up the rest of an upload there anyway, as the connection has ended. EPIPE is no such error: the peer's FIN was received before, so the response is whole.

Ruled out: the order in which net/http closes the connection.

Conclusion: an end of the stream is only an end if no write got the reset.

--- a/internal/base/transport/conn.go
+++ b/internal/base/transport/conn.go
@@ -1,19 +1,26 @@
 package transport
 
 import (
+	"io"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
+
+	"github.com/pkg/errors"
 )
 
 // maxCarried is the number of requests with an ID after which a connection is closed. It
 // bounds the memory of a connection, 8 bytes for each ID.
 const maxCarried = 256
 
-// conn is a connection that records whether a request was written to it.
+// conn is a connection that records whether a request was written to it, and whether it broke.
 type conn struct {
 	net.Conn
 
+	// writing is held during each write to Conn.
+	writing sync.Mutex
+
 	mutex sync.Mutex
 	// carried contains the hashes of the IDs of the requests for which it was used.
 	carried []uint64
@@ -21,6 +28,8 @@
 	current *use
 	// sealed connections reject every write.
 	sealed bool
+	// broken is the error of the write that found that the connection broke; nil if none did.
+	broken error
 }
 
 // use is the use of a connection for one request.
@@ -55,6 +64,33 @@
 	return c.Conn.Close()
 }
 
+// Read implements net.Conn. It returns io.EOF only if the peer closed the connection. The kernel
+// reports that a connection broke only once: if a write gets the error, later reads end as if the
+// peer had closed the connection.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.end()
+	}
+	return n, err
+}
+
+// end returns the error on which the connection broke, or io.EOF if the peer closed it.
+func (c *conn) end() error {
+	if !c.writing.TryLock() {
+		// The write in progress may have got the error. Closing makes it return.
+		_ = c.Close()
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.broken != nil {
+		return c.broken
+	}
+	return io.EOF
+}
+
 // seal reports whether nothing was written in a use. If so, it makes all later writes fail,
 // since net/http may still write after it has abandoned a request.
 func (c *conn) seal(u *use) bool {
@@ -69,14 +105,36 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if !c.beginWrite() {
+		return 0, net.ErrClosed
+	}
+	n, err := c.Conn.Write(b)
+	if isBreak(err) {
+		c.mutex.Lock()
+		c.broken = err
+		c.mutex.Unlock()
+	}
+	return n, err
+}
+
+// beginWrite records a write in the current use. It returns false if the connection is sealed.
+func (c *conn) beginWrite() bool {
 	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if c.sealed {
-		c.mutex.Unlock()
-		return 0, net.ErrClosed
+		return false
 	}
 	if c.current != nil {
 		c.current.written = true
 	}
-	c.mutex.Unlock()
-	return c.Conn.Write(b)
+	return true
+}
+
+// isBreak reports whether an error of a write means that the connection broke before the peer
+// closed it. After a FIN, the kernel reports a reset as EPIPE.
+func isBreak(err error) bool {
+	var code syscall.Errno
+	return errors.As(err, &code) && code != syscall.EPIPE
 }
