A whole response arrives also if the connection is reset during the upload

Callers saw: a server that answers a long upload early with a whole response, with its length, its last chunk or ended by a FIN, and then resets the connection: most of these responses were lost ("write: connection reset by peer").

The write that is under way gets the reset, or EPIPE after a FIN, before net/http has read what was received. On an error of a write net/http closes the connection, and what was not read yet is gone.

Change: once a write finds that the peer ended the connection, writes on it discard what they are given and succeed, so that the read alone decides: it gets what was received, and then the FIN or the error kept from the write. Reads on such a connection do not wait. A connection that the peer ended takes no further request: the request is sent on a new one, as nothing of it was written (TestConnectionThatPeerEndedIsNotReused).

Conclusion: whether a response is whole follows from what was received, not from which thread noticed the end of the connection first.

--- a/internal/base/transport/broken_test.go
+++ b/internal/base/transport/broken_test.go
@@ -44,12 +44,25 @@
 	reset(t, c)
 }
 
+// finishThenReset sends a FIN and then a RST.
+func finishThenReset(t *testing.T, c *net.TCPConn) {
+	must.NoError(t, c.CloseWrite())
+	reset(t, c)
+}
+
 // finishThenResetLater sends a FIN, and a RST once the client has had time to read it.
 func finishThenResetLater(t *testing.T, c *net.TCPConn) {
 	must.NoError(t, c.CloseWrite())
 	resetLater(t, c)
 }
 
+// finish sends a FIN and reads the rest of the request.
+func finish(t *testing.T, c *net.TCPConn) {
+	must.NoError(t, c.CloseWrite())
+	_, _ = io.Copy(io.Discard, c) // The client may end the connection before it has sent all.
+	must.NoError(t, c.Close())
+}
+
 // listenEarly returns the address of a server that writes a response once it has read the first
 // bytes of a request, and then ends the connection.
 func listenEarly(t *testing.T, response string, end ending) string {
@@ -122,6 +135,42 @@
 	}
 }
 
+// TestWholeResponseArrivesDespiteReset ends the connection after a whole response.
+func TestWholeResponseArrivesDespiteReset(t *testing.T) {
+	const (
+		length = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+		chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+		closed = "HTTP/1.1 200 OK\r\n\r\nwhole"
+	)
+	for _, test := range []struct {
+		name, response string
+		end            ending
+	}{
+		{"length, reset", length, reset},
+		{"length, reset later", length, resetLater},
+		{"chunks, reset", chunks, reset},
+		{"chunks, reset later", chunks, resetLater},
+		{"length, closed, reset", length, finishThenReset},
+		{"closed, reset", closed, finishThenReset},
+		{"closed, reset later", closed, finishThenResetLater},
+		{"closed", closed, finish},
+	} {
+		for _, size := range []int{smallUpload, largeUpload} {
+			t.Run(fmt.Sprintf("%s %d", test.name, size), func(t *testing.T) {
+				t.Parallel()
+				address := listenEarly(t, test.response, test.end)
+				whole := 0
+				for range tries {
+					if b, err := upload(t, newTransport(t), address, size); err == nil && string(b) == "whole" {
+						whole++
+					}
+				}
+				must.Eq(t, tries, whole, must.Sprintf("%d of %d arrived", whole, tries))
+			})
+		}
+	}
+}
+
 // TestConnectionReportsResetOnce checks what the transport relies on: a write that is under way gets
 // ECONNRESET if the connection is reset, and a read that follows an end of the stream as after a FIN. If
 // a FIN came before the reset, the write gets EPIPE.
@@ -149,3 +198,15 @@
 		})
 	}
 }
+
+// TestConnectionThatPeerEndedIsNotReused sends a request after each response that was followed by a reset
+// during the upload: it must be sent on a new connection.
+func TestConnectionThatPeerEndedIsNotReused(t *testing.T) {
+	address := listenEarly(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", reset)
+	c := newTransport(t)
+	for range tries {
+		b, err := upload(t, c, address, largeUpload)
+		must.NoError(t, err)
+		must.Eq(t, "whole", string(b))
+	}
+}
--- a/internal/base/transport/conn.go
+++ b/internal/base/transport/conn.go
@@ -30,6 +30,8 @@
 	sealed bool
 	// broken is the error of the write that found that the connection broke; nil if none did.
 	broken error
+	// ended connections were ended by the peer, as a write found: they discard what is written.
+	ended bool
 }
 
 // use is the use of a connection for one request.
@@ -44,18 +46,23 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.current = &use{}
-	if id == 0 {
-		return c.current
-	}
-	if len(c.carried) >= maxCarried || slices.Contains(c.carried, id) {
+	if c.ended || !c.mayCarry(id) {
 		c.sealed = true
 		c.Conn.Close()
 		return c.current
 	}
-	c.carried = append(c.carried, id)
+	if id != 0 {
+		c.carried = append(c.carried, id)
+	}
 	return c.current
 }
 
+// mayCarry reports whether a response to the request with an ID could not be taken for one to
+// an earlier request.
+func (c *conn) mayCarry(id uint64) bool {
+	return id == 0 || len(c.carried) < maxCarried && !slices.Contains(c.carried, id)
+}
+
 // Close implements net.Conn. Writes after it send nothing.
 func (c *conn) Close() error {
 	c.mutex.Lock()
@@ -103,33 +110,48 @@
 	return true
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Once the peer has ended the connection, writes discard what they are
+// given and succeed: net/http would close the connection on an error, and with it lose a response that
+// was received but not read yet. Reads end without waiting then.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if !c.beginWrite() {
-		return 0, net.ErrClosed
+	discard, err := c.beginWrite()
+	if err != nil {
+		return 0, err
+	}
+	if discard {
+		return len(b), nil
 	}
 	n, err := c.Conn.Write(b)
-	if isBreak(err) {
-		c.mutex.Lock()
-		c.broken = err
-		c.mutex.Unlock()
+	if err != nil && c.endWrite(err) {
+		return len(b), nil
 	}
 	return n, err
 }
 
-// beginWrite records a write in the current use. It returns false if the connection is sealed.
-func (c *conn) beginWrite() bool {
+// beginWrite records a write in the current use, and reports whether to discard what is written.
+func (c *conn) beginWrite() (discard bool, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.sealed {
-		return false
+		return false, net.ErrClosed
 	}
 	if c.current != nil {
 		c.current.written = true
 	}
-	return true
+	return c.ended, nil
+}
+
+// endWrite records the error of a write, and reports whether the peer has ended the connection.
+func (c *conn) endWrite(err error) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if isBreak(err) {
+		c.broken = err
+	}
+	c.ended = errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return c.ended
 }
 
 // isBreak reports whether an error of a write means that the connection broke before the peer
