A response whose status is not that of a final response is refused

Through a daemon, 000 ended the client's connection without a byte, as net/http's server panics on it, and 101 and 600 arrived.

Cause: net/http's client accepts any status of three characters that is a number of 0 or more, "+20" too, and 101 also if no other protocol was asked for.

Evidence: TestStatusOutOfRange on the code before: 000, 001, 099, 101, 600, 999 and +20 were responses in all 4 forms of the body (28 of 52 cases); -20, 0, 20, 2000, abc and an empty status were refused already.

Change: base/transport accepts 200 to 599 only, and closes the connection of any other. The error is not ErrNotSent: the request may have run, so it is handled as one without an answer.

After: all 52 cases are refused, and the connection is not used again; 200, 299, 421, 500, 599, and 200 after a 100 or a 103 arrive (TestStatusInRange).

--- /dev/null
+++ b/internal/base/transport/response.go
@@ -0,0 +1,26 @@
+package transport
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// The least and the greatest status of a final response. net/http accepts any three digits, and
+// 101 also if the request asked for no other protocol, as requests here never do.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// ErrInvalid is returned when what the peer sent is not a response in HTTP. The peer may have acted on
+// the request.
+var ErrInvalid = errors.New("transport: invalid response")
+
+// validate returns an error that wraps ErrInvalid if net/http accepted a response that is none.
+func validate(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return errors.Wrapf(ErrInvalid, "status %q", r.Status)
+	}
+	return nil
+}
--- a/internal/base/transport/transport.go
+++ b/internal/base/transport/transport.go
@@ -91,7 +91,7 @@
 }
 
 // RoundTrip sends a request at most once. Its errors wrap ErrNotSent if the request was
-// not sent; all others mean that the receiver may have acted on it.
+// not sent; all others, among them ErrInvalid, mean that the receiver may have acted on it.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, _, err := t.send(r, 0)
 	return resp, err
@@ -120,7 +120,7 @@
 		var resp *http.Response
 		resp, err = e.roundTrip(t.inner, r)
 		if err == nil {
-			return resp, e.conn, nil
+			return e.accept(resp)
 		}
 		if !e.unsent() {
 			return nil, nil, err
@@ -153,6 +153,16 @@
 	reused bool
 }
 
+// accept returns a response and its connection, which it closes if the response is invalid.
+func (e *exchange) accept(r *http.Response) (*http.Response, *conn, error) {
+	if err := validate(r); err != nil {
+		_ = e.conn.Close()
+		_ = r.Body.Close()
+		return nil, nil, err
+	}
+	return r, e.conn, nil
+}
+
 func (e *exchange) roundTrip(t *http.Transport, r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	e.cancel = cancel
