A response with a blank in the name of a field is refused

Cause: net/http keeps a field whose name contains blanks, under the name as it was received, and so looks for the end of the body as if the field were missing.

Evidence: TestInvalidFieldName on the code before: 54 of 240 heads were those of a response, all of them with one or two blanks in or after the name. Control bytes (NUL, 01, tab, vertical tab, escape, CR, DEL), other bytes that are no part of a name, an empty name and a line without a colon were refused already: the test is kept for them, and nothing was changed there.

Change: base/transport refuses a response whose header has such a name, as it does an invalid status.

After: all 240 are refused, and the connection is not used again.

--- a/internal/base/transport/invalid_test.go
+++ b/internal/base/transport/invalid_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/lacewingtally/lacewingtally/internal/base/transport"
@@ -31,8 +33,13 @@
 	s := listen(t, respondOnce(response))
 	c := newTransport(t)
 	for n := range 2 {
-		err := post(t, c, s, http.MethodPost, "", "body", fmt.Sprint("r", n))
-		must.Error(t, err, must.Sprintf("%q is a response", response))
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.address+"/x", strings.NewReader("body"))
+		must.NoError(t, err)
+		resp, _, err := c.Send(r, fmt.Sprint(n))
+		if err == nil {
+			must.NoError(t, resp.Body.Close())
+		}
+		test.Error(t, err, test.Sprintf("%q is a response", response))
 		must.False(t, errors.Is(err, transport.ErrNotSent))
 		must.Eq(t, int64(n+1), s.connections.Load())
 		must.Eq(t, int64(n+1), s.requests.Load())
@@ -58,3 +65,27 @@
 		must.NoError(t, post(t, newTransport(t), s, http.MethodPost, "", "body", "r1"))
 	}
 }
+
+// mustBeInvalidField checks that a response with a line in its header is none, wherever the line stands.
+func mustBeInvalidField(t *testing.T, line string) {
+	t.Helper()
+	for _, head := range []string{line + "\r\nX-Id: 1\r\n", "X-Id: 1\r\n" + line + "\r\n", "X-Id: 1\r\nX-B: b\r\n" + line + "\r\nX-C: c\r\n"} {
+		mustBeInvalid(t, "HTTP/1.1 200 OK\r\n"+head+"\r\n2\r\nok\r\n0\r\n\r\n")
+	}
+}
+
+// fields are the names and values of fields of which two would decide where the body ends.
+var fields = map[string]string{"X-A": "a", "Content-Length": "2", "Transfer-Encoding": "chunked"}
+
+// TestInvalidFieldName responds with a field whose name holds a byte that no name may hold.
+func TestInvalidFieldName(t *testing.T) {
+	for name, value := range fields {
+		for _, invalid := range []string{" ", "  ", "\t", "\x00", "\x01", "\x0b", "\x1b", "\r", "\x7f", "\x80", "(", "é", " 2"} {
+			for _, field := range []string{name + invalid, name[:2] + invalid + name[2:]} {
+				mustBeInvalidField(t, field+": "+value)
+			}
+		}
+	}
+	mustBeInvalidField(t, ": a")
+	mustBeInvalidField(t, "no colon")
+}
--- a/internal/base/transport/response.go
+++ b/internal/base/transport/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -22,5 +23,11 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status %q", r.Status)
 	}
+	for name := range r.Header {
+		// net/http accepts blanks in names, and no other byte that a name must not contain.
+		if strings.Contains(name, " ") {
+			return errors.Wrapf(ErrInvalid, "field name %q", name)
+		}
+	}
 	return nil
 }
