A response with a blank before the name of a field is refused

Callers would see: " Content-Length: 2" in a head comes as a part of the value of the field before, which may be the server's stamp, and the body comes as far as the connection lasts.

Cause: net/http reads a line that begins with a blank as the obsolete continuation of the line before, and joins the two with one blank. The parsed header does not show it, so the check of names cannot find it. RFC 9112, 5.2, lets a gateway answer 502 to such a response.

Change: the connections of base/transport follow the bytes of each header as they are received, and a response with such a line is refused.

Valid headers in unusual forms, and bodies that look like such lines, arrive (TestValidHeader).

--- a/internal/base/transport/conn.go
+++ b/internal/base/transport/conn.go
@@ -24,7 +24,7 @@
 	mutex sync.Mutex
 	// carried contains the hashes of the IDs of the requests for which it was used.
 	carried []uint64
-	// current is the use that writes belong to.
+	// current is the use that reads and writes belong to.
 	current *use
 	// sealed connections reject every write.
 	sealed bool
@@ -38,6 +38,8 @@
 type use struct {
 	// written is set before the first write, so that a write that fails half-way counts.
 	written bool
+	// head is the header of the response as far as it was received.
+	head head
 }
 
 // begin starts a use of the connection for the request with an ID, or 0 if responses to it
@@ -76,12 +78,29 @@
 // peer had closed the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.record(b[:n])
 	if errors.Is(err, io.EOF) {
 		err = c.end()
 	}
 	return n, err
 }
 
+// record records bytes received in the current use.
+func (c *conn) record(b []byte) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.current != nil {
+		c.current.head.read(b)
+	}
+}
+
+// received returns the header of the response as far as it was received in a use.
+func (c *conn) received(u *use) head {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return u.head
+}
+
 // end returns the error on which the connection broke, or io.EOF if the peer closed it.
 func (c *conn) end() error {
 	if !c.writing.TryLock() {
--- a/internal/base/transport/invalid_test.go
+++ b/internal/base/transport/invalid_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test"
@@ -89,3 +90,60 @@
 	mustBeInvalidField(t, ": a")
 	mustBeInvalidField(t, "no colon")
 }
+
+// TestFoldedField responds with a field before whose name there is a blank, which net/http takes for a part
+// of the value of the field before.
+func TestFoldedField(t *testing.T) {
+	for name, value := range fields {
+		for _, blank := range []string{" ", "\t", "  ", " \t"} {
+			mustBeInvalidField(t, blank+name+": "+value)
+			mustBeInvalidField(t, blank+name+" : "+value)
+		}
+	}
+	mustBeInvalidField(t, " ")
+	mustBeInvalidField(t, "\t: a")
+	mustBeInvalidField(t, "X-A:\r\n a")
+	mustBeInvalidField(t, "X-A:\n a")
+}
+
+// TestValidHeader responds with headers in unusual forms that are valid, and with bodies that look like lines
+// that are not.
+func TestValidHeader(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-A:a\r\nX-B: \t b \t\r\nX-C:\r\nx_d!#$%&'*+-.^`|~0: d\r\nContent-Length: 4\r\n\r\n a: ",
+		"HTTP/1.0 200 OK\nX-Id: r\nContent-Length: 5\n\n\n a: ",
+		"HTTP/1.1 200\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 \r\nX-Id: r\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1  200 OK\r\nX-Id: r\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\nHTTP/1.1  102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 2\r\n\r\n a",
+	} {
+		s := listen(t, respondOnce(response))
+		must.NoError(t, post(t, newTransport(t), s, http.MethodPost, "", "body", "r"), must.Sprint(response))
+	}
+}
+
+// TestFoldedFieldAfterInformationalResponse folds a line of a header that follows another.
+func TestFoldedFieldAfterInformationalResponse(t *testing.T) {
+	mustBeInvalid(t, "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\nHTTP/1.1 200 OK\r\nX-B: b\r\n Content-Length: 2\r\n\r\nokay")
+}
+
+// TestFoldedFieldInParts folds a line of a header that is received byte by byte, on a connection that
+// has carried another response.
+func TestFoldedFieldInParts(t *testing.T) {
+	s := listen(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n == 1 {
+			return ok(c, r, n)
+		}
+		for _, b := range []byte("HTTP/1.1 200 OK\r\nX-Id: r2\r\nX-A: a\r\n Content-Length: 2\r\n\r\nokay") {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+		}
+		return true
+	})
+	c := newTransport(t)
+	must.NoError(t, post(t, c, s, http.MethodPost, "", "body", "r1"))
+	must.ErrorIs(t, post(t, c, s, http.MethodPost, "", "body", "r2"), transport.ErrInvalid)
+	must.Eq(t, 1, s.connections.Load())
+}
--- a/internal/base/transport/response.go
+++ b/internal/base/transport/response.go
@@ -18,8 +18,12 @@
 // the request.
 var ErrInvalid = errors.New("transport: invalid response")
 
-// validate returns an error that wraps ErrInvalid if net/http accepted a response that is none.
-func validate(r *http.Response) error {
+// validate returns an error that wraps ErrInvalid if net/http accepted a response that is none, given
+// its header as it was received.
+func validate(r *http.Response, h head) error {
+	if h.folded {
+		return errors.Wrap(ErrInvalid, "a line of the header begins with a blank")
+	}
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status %q", r.Status)
 	}
--- a/internal/base/transport/transport.go
+++ b/internal/base/transport/transport.go
@@ -155,7 +155,7 @@
 
 // accept returns a response and its connection, which it closes if the response is invalid.
 func (e *exchange) accept(r *http.Response) (*http.Response, *conn, error) {
-	if err := validate(r); err != nil {
+	if err := validate(r, e.conn.received(e.use)); err != nil {
 		_ = e.conn.Close()
 		_ = r.Body.Close()
 		return nil, nil, err
