More whole responses during an upload: without a body, and while the server reads nothing

A response of 204, or one ended by a FIN of a server that keeps the connection and does not read the upload, must arrive, the latter without waiting for the write. The second guards end() of the connection: without its Close the test takes 30 s and fails.

--- a/internal/base/transport/broken_test.go
+++ b/internal/base/transport/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/netip"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -25,13 +27,18 @@
 	tries = 40
 )
 
+// uploadTimeout bounds a request and its response. It is reached only if a test fails.
+const uploadTimeout = 30 * time.Second
+
 // zeros is the content of the request bodies.
 var zeros = make([]byte, largeUpload)
 
 // upload sends a request with a body and returns the body of its response as far as it was read.
 func upload(t *testing.T, c *transport.Transport, to netip.AddrPort, size int) ([]byte, error) {
 	t.Helper()
-	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+to.String()+"/x", bytes.NewReader(zeros[:size]))
+	ctx, cancel := context.WithTimeout(t.Context(), uploadTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/x", bytes.NewReader(zeros[:size]))
 	must.NoError(t, err)
 	resp, err := c.RoundTrip(r)
 	if err != nil {
@@ -80,17 +87,19 @@
 		closed = "HTTP/1.1 200 OK\r\n\r\nwhole"
 	)
 	for _, test := range []struct {
-		name, response string
-		end            raw.Ending
+		name, response, body string
+		end                  raw.Ending
 	}{
-		{"length, reset", length, raw.Reset},
-		{"length, reset later", length, raw.ResetLater},
-		{"chunks, reset", chunks, raw.Reset},
-		{"chunks, reset later", chunks, raw.ResetLater},
-		{"length, closed, reset", length, raw.FinishThenReset},
-		{"closed, reset", closed, raw.FinishThenReset},
-		{"closed, reset later", closed, raw.FinishThenResetLater},
-		{"closed", closed, raw.Finish},
+		{"length, reset", length, "whole", raw.Reset},
+		{"length, reset later", length, "whole", raw.ResetLater},
+		{"chunks, reset", chunks, "whole", raw.Reset},
+		{"chunks, reset later", chunks, "whole", raw.ResetLater},
+		{"no body, reset", "HTTP/1.1 204 No Content\r\n\r\n", "", raw.Reset},
+		{"no body, reset later", "HTTP/1.1 204 No Content\r\n\r\n", "", raw.ResetLater},
+		{"length, closed, reset", length, "whole", raw.FinishThenReset},
+		{"closed, reset", closed, "whole", raw.FinishThenReset},
+		{"closed, reset later", closed, "whole", raw.FinishThenResetLater},
+		{"closed", closed, "whole", raw.Finish},
 	} {
 		for _, size := range []int{smallUpload, largeUpload} {
 			t.Run(fmt.Sprintf("%s %d", test.name, size), func(t *testing.T) {
@@ -98,7 +107,7 @@
 				to := raw.Serve(t, test.response, test.end)
 				whole := 0
 				for range tries {
-					if b, err := upload(t, newTransport(t), to, size); err == nil && string(b) == "whole" {
+					if b, err := upload(t, newTransport(t), to, size); err == nil && string(b) == test.body {
 						whole++
 					}
 				}
@@ -108,6 +117,24 @@
 	}
 }
 
+// TestWholeResponseArrivesDuringUpload has a server close its side of the connection after a whole response, and
+// read nothing more of the request: the response must arrive although the write of the request does not end.
+func TestWholeResponseArrivesDuringUpload(t *testing.T) {
+	arrived := make(chan struct{})
+	to := raw.Serve(t, "HTTP/1.1 200 OK\r\n\r\nwhole", func(c *net.TCPConn) error {
+		time.Sleep(100 * time.Millisecond) // The buffers of the connection are full then.
+		err := c.CloseWrite()
+		<-arrived
+		return err
+	})
+	sentAt := time.Now()
+	b, err := upload(t, newTransport(t), to, largeUpload)
+	close(arrived)
+	must.Less(t, uploadTimeout/2, time.Since(sentAt))
+	must.NoError(t, err)
+	must.Eq(t, "whole", string(b))
+}
+
 // TestConnectionReportsResetOnce checks what the transport relies on: if the connection is reset, a write in
 // progress gets ECONNRESET, and later reads end as after a FIN. If a FIN came before the reset, the write
 // gets EPIPE.
