--- a/internal/base/transport/conn.go
+++ b/internal/base/transport/conn.go
@@ -28,10 +28,11 @@
 	current *use
 	// sealed connections reject every write.
 	sealed bool
-	// broken is the error of the write that found that the connection broke; nil if none did.
+	// broken is the error of a write that failed because the connection broke; nil if none did.
 	broken error
-	// ended connections were ended by the peer, as a write found: they discard what is written.
-	ended bool
+	// peerEnded is set once a write failed because the peer had closed or reset the connection. Later
+	// writes are discarded.
+	peerEnded bool
 }
 
 // use is the use of a connection for one request.
@@ -48,7 +49,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.current = &use{}
-	if c.ended || !c.mayCarry(id) {
+	if c.peerEnded || !c.mayCarry(id) {
 		c.sealed = true
 		c.Conn.Close()
 		return c.current
@@ -59,8 +60,8 @@
 	return c.current
 }
 
-// mayCarry reports whether a response to the request with an ID could not be taken for one to
-// an earlier request.
+// mayCarry reports whether the connection may carry the request with an ID: it has not carried it
+// before.
 func (c *conn) mayCarry(id uint64) bool {
 	return id == 0 || len(c.carried) < maxCarried && !slices.Contains(c.carried, id)
 }
@@ -78,15 +79,15 @@
 // peer had closed the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.record(b[:n])
+	c.recordRead(b[:n])
 	if errors.Is(err, io.EOF) {
-		err = c.end()
+		err = c.endOfStream()
 	}
 	return n, err
 }
 
-// record records bytes received in the current use.
-func (c *conn) record(b []byte) {
+// recordRead records bytes that were received in the current use.
+func (c *conn) recordRead(b []byte) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.current != nil {
@@ -94,17 +95,18 @@
 	}
 }
 
-// received returns the header of the response as far as it was received in a use.
-func (c *conn) received(u *use) head {
+// headOf returns the header of the response as far as it was received in a use.
+func (c *conn) headOf(u *use) head {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return u.head
 }
 
-// end returns the error on which the connection broke, or io.EOF if the peer closed it.
-func (c *conn) end() error {
+// endOfStream returns the error on which the connection broke, or io.EOF if the peer closed it.
+func (c *conn) endOfStream() error {
 	if !c.writing.TryLock() {
-		// The write in progress may have got the error. Closing makes it return.
+		// The write in progress may have got the error. Closing the connection makes it return. The
+		// response ends here, and net/http would not send the rest of the request either.
 		_ = c.Close()
 		c.writing.Lock()
 	}
@@ -129,9 +131,9 @@
 	return true
 }
 
-// Write implements net.Conn. Once the peer has ended the connection, writes discard what they are
-// given and succeed: net/http would close the connection on an error, and with it lose a response that
-// was received but not read yet. Reads end without waiting then.
+// Write implements net.Conn. Once the peer has ended the connection, writes succeed and discard what they
+// are given: on an error net/http would close the connection, and lose a response that was received but
+// not read yet. Reads from such a connection do not wait.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
@@ -143,7 +145,7 @@
 		return len(b), nil
 	}
 	n, err := c.Conn.Write(b)
-	if err != nil && c.endWrite(err) {
+	if err != nil && c.recordFailure(err) {
 		return len(b), nil
 	}
 	return n, err
@@ -159,18 +161,18 @@
 	if c.current != nil {
 		c.current.written = true
 	}
-	return c.ended, nil
+	return c.peerEnded, nil
 }
 
-// endWrite records the error of a write, and reports whether the peer has ended the connection.
-func (c *conn) endWrite(err error) bool {
+// recordFailure records the error of a write, and reports whether the peer has ended the connection.
+func (c *conn) recordFailure(err error) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if isBreak(err) {
 		c.broken = err
 	}
-	c.ended = errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-	return c.ended
+	c.peerEnded = errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return c.peerEnded
 }
 
 // isBreak reports whether an error of a write means that the connection broke before the peer
--- a/internal/base/transport/transport.go
+++ b/internal/base/transport/transport.go
@@ -153,9 +153,9 @@
 	reused bool
 }
 
-// accept returns a response and its connection, which it closes if the response is invalid.
+// accept returns a response and its connection. It closes both if the response is invalid.
 func (e *exchange) accept(r *http.Response) (*http.Response, *conn, error) {
-	if err := validate(r, e.conn.received(e.use)); err != nil {
+	if err := validate(r, e.conn.headOf(e.use)); err != nil {
 		_ = e.conn.Close()
 		_ = r.Body.Close()
 		return nil, nil, err
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -103,8 +103,8 @@
 	return end(c)
 }
 
-// EachBroken runs a check against servers whose responses are broken although net/http would accept them, and
-// their body although it is as given. The check's request must contain the padding.
+// EachBroken runs a check against servers that send a sound body in broken responses that net/http
+// accepts. The check's request must contain the padding, so that it lasts until the response arrives.
 func EachBroken(t *testing.T, body string, check func(t *testing.T, to netip.AddrPort, padding string)) {
 	t.Helper()
 	length := fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body))
