--- a/internal/base/transport/broken_test.go
+++ b/internal/base/transport/broken_test.go
@@ -22,8 +22,8 @@
 	// smallUpload and largeUpload are the sizes of request bodies, in bytes.
 	smallUpload = 10
 	largeUpload = raw.UploadBytes
-	// tries is how often each exchange is repeated: which of the client's threads notices a reset
-	// first differs from one to the next.
+	// tries is how often each exchange is repeated: which of the client's goroutines gets the
+	// error first differs from one to the next.
 	tries = 40
 )
 
@@ -163,9 +163,9 @@
 	}
 }
 
-// TestConnectionThatPeerEndedIsNotReused sends a request after each response that was followed by a reset
-// during the upload: it must be sent on a new connection.
-func TestConnectionThatPeerEndedIsNotReused(t *testing.T) {
+// TestRequestsFollowResetResponses sends requests one after the other with one transport. Each response is
+// whole, and followed by a reset during the upload: all must arrive.
+func TestRequestsFollowResetResponses(t *testing.T) {
 	to := raw.Serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", raw.Reset)
 	c := newTransport(t)
 	for range tries {
--- a/internal/base/transport/conn.go
+++ b/internal/base/transport/conn.go
@@ -75,8 +75,8 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the peer closed the connection. The kernel
-// reports that a connection broke only once: if a write gets the error, later reads end as if the
-// peer had closed the connection.
+// reports a broken connection once: if a write gets the error, reads from Conn end as if the peer
+// had closed the connection.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.recordRead(b[:n])
--- a/internal/standin/raw/raw.go
+++ b/internal/standin/raw/raw.go
@@ -1,5 +1,5 @@
-// Package raw is a server whose responses tests write byte for byte, also such as are no response in
-// HTTP or break off.
+// Package raw is a server for tests that writes given bytes as its response, whether or not they are one
+// in HTTP, and ends its connections in a given way.
 package raw
 
 import (
